--- /dev/null
+++ b/src/citronpulley/base/base.h
@@ -0,0 +1,19 @@
+#ifndef CITRONPULLEY_BASE_BASE_H
+#define CITRONPULLEY_BASE_BASE_H
+
+/**
+ * @file
+ * Module `base`: identifiers, points in time, errors, results, digests, the bounded ring between
+ * threads and the registry of plug-ins. It depends on no other module.
+ */
+
+#include "citronpulley/base/bounded_ring.h"
+#include "citronpulley/base/digest.h"
+#include "citronpulley/base/error.h"
+#include "citronpulley/base/identifiers.h"
+#include "citronpulley/base/instant.h"
+#include "citronpulley/base/overloaded.h"
+#include "citronpulley/base/plugin_registry.h"
+#include "citronpulley/base/result.h"
+
+#endif
--- /dev/null
+++ b/src/citronpulley/base/digest.h
@@ -0,0 +1,59 @@
+#ifndef CITRONPULLEY_BASE_DIGEST_H
+#define CITRONPULLEY_BASE_DIGEST_H
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace citronpulley {
+
+/** BLAKE2b digest of 16 bytes; tells requests and texts apart. */
+struct digest
+{
+  std::array<std::uint8_t, 16> mBytes{};
+
+  friend auto operator<=>(const digest&, const digest&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mBytes);
+  }
+};
+
+/** @return the digest of some bytes, without a key */
+digest ComputeDigest(std::string_view aBytes) noexcept;
+
+/** @return the digest as 32 hexadecimal digits */
+std::string ToHex(const digest& aDigest);
+
+/** Keyed BLAKE2b digest of 32 bytes of a caller's secret; the only form in which a secret is kept.
+ */
+struct key_digest
+{
+  std::array<std::uint8_t, 32> mBytes{};
+
+  /** Compares in constant time. */
+  friend bool operator==(const key_digest& aLeft, const key_digest& aRight) noexcept;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mBytes);
+  }
+};
+
+/**
+ * Digests the secret part of a caller's key.
+ *
+ * @param aSecret the secret
+ * @param aDeploymentSecret secret of the deployment, which keys the digest; of any length
+ * @return the digest
+ */
+key_digest ComputeKeyDigest(std::string_view aSecret, std::string_view aDeploymentSecret) noexcept;
+
+} // namespace citronpulley
+
+#endif
--- /dev/null
+++ b/src/citronpulley/base/identifiers.h
@@ -0,0 +1,69 @@
+#ifndef CITRONPULLEY_BASE_IDENTIFIERS_H
+#define CITRONPULLEY_BASE_IDENTIFIERS_H
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace citronpulley {
+
+/**
+ * Name of one kind, so that names of different kinds cannot be confused.
+ *
+ * @tparam Tag empty type that tells the kind
+ */
+template<typename Tag>
+struct name_of
+{
+  std::string mValue;
+
+  name_of() = default;
+  explicit name_of(std::string aValue) noexcept
+    : mValue(std::move(aValue))
+  {
+  }
+
+  /** @return true when no name was set */
+  bool IsEmpty() const noexcept { return mValue.empty(); }
+
+  friend auto operator<=>(const name_of&, const name_of&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mValue);
+  }
+};
+
+/** Name of a VM of the system, unique in a deployment. */
+using vm_name = name_of<struct vm_name_tag>;
+/** Name of an availability zone, unique in a deployment. */
+using zone_name = name_of<struct zone_name_tag>;
+using region_name = name_of<struct region_name_tag>;
+using service_name = name_of<struct service_name_tag>;
+/** Name of a tenant; empty for requests on open routes. */
+using workspace_name = name_of<struct workspace_name_tag>;
+/** Identity of a backend server: its address as `IP:port`. */
+using server_name = name_of<struct server_name_tag>;
+/** Public part of a caller's key; safe in logs. */
+using key_id = name_of<struct key_id_tag>;
+
+/** Number that tells one run of a process from its earlier and later runs; it rises with each run.
+ */
+using incarnation = std::uint64_t;
+
+} // namespace citronpulley
+
+template<typename Tag>
+struct std::hash<citronpulley::name_of<Tag>>
+{
+  std::size_t operator()(const citronpulley::name_of<Tag>& aName) const noexcept
+  {
+    return std::hash<std::string>{}(aName.mValue);
+  }
+};
+
+#endif
--- /dev/null
+++ b/src/citronpulley/config/toml_reader.cpp
@@ -0,0 +1,238 @@
+#include "citronpulley/config/toml_reader.h"
+
+#include <toml++/toml.h>
+
+#include <cmath>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace citronpulley {
+
+struct toml_reader::content
+{
+  std::shared_ptr<toml::table> mRoot;
+  const toml::table* mTable = nullptr;
+  std::string mFile;
+  std::string mPath;
+  config_faults* mFaults = nullptr;
+  std::set<std::string, std::less<>> mKeysRead;
+  bool mIsParsed = false;
+
+  const toml::node* Find(std::string_view aKey)
+  {
+    mKeysRead.emplace(aKey);
+    return mTable == nullptr ? nullptr : mTable->get(aKey);
+  }
+
+  std::string GetPath(std::string_view aKey) const
+  {
+    return mPath.empty() ? std::string(aKey) : mPath + "." + std::string(aKey);
+  }
+
+  void Report(std::string_view aKey,
+              const toml::node* aNode,
+              std::string aFound,
+              std::string aExpected) const
+  {
+    const toml::node* place = aNode != nullptr ? aNode : mTable;
+    const std::uint32_t line =
+      place == nullptr ? 0 : static_cast<std::uint32_t>(place->source().begin.line);
+    mFaults->push_back({ mFile, line, GetPath(aKey), std::move(aFound), std::move(aExpected) });
+  }
+};
+
+namespace {
+
+std::string Describe(const toml::node& aNode)
+{
+  std::ostringstream text;
+  aNode.visit([&text](const auto& aValue) {
+    if constexpr (toml::is_value<decltype(aValue)>) {
+      text << aValue;
+    } else {
+      text << (toml::is_table<decltype(aValue)> ? "a table" : "an array");
+    }
+  });
+  return text.str();
+}
+
+} // namespace
+
+toml_reader::toml_reader(std::string_view aText, std::string aFile, config_faults& aFaults)
+  : mContent(std::make_unique<content>())
+{
+  mContent->mFile = std::move(aFile);
+  mContent->mFaults = &aFaults;
+  try {
+    mContent->mRoot = std::make_shared<toml::table>(toml::parse(aText, mContent->mFile));
+    mContent->mTable = mContent->mRoot.get();
+    mContent->mIsParsed = true;
+  } catch (const toml::parse_error& parseError) {
+    aFaults.push_back({ mContent->mFile,
+                        static_cast<std::uint32_t>(parseError.source().begin.line),
+                        "",
+                        std::string(parseError.description()),
+                        "valid TOML" });
+  }
+}
+
+toml_reader::toml_reader(std::unique_ptr<content> aContent) noexcept
+  : mContent(std::move(aContent))
+{
+}
+
+toml_reader::~toml_reader() = default;
+toml_reader::toml_reader(toml_reader&&) noexcept = default;
+
+bool toml_reader::IsParsed() const noexcept
+{
+  return mContent->mIsParsed;
+}
+
+std::string toml_reader::RequireString(std::string_view aKey)
+{
+  const toml::node* node = mContent->Find(aKey);
+  if (node == nullptr) {
+    mContent->Report(aKey, nullptr, "nothing", "a string");
+    return {};
+  }
+  const auto value = node->value_exact<std::string>();
+  if (!value || value->empty()) {
+    mContent->Report(aKey, node, value ? "an empty string" : Describe(*node), "a string");
+    return {};
+  }
+  return *value;
+}
+
+std::string toml_reader::ReadString(std::string_view aKey, std::string aDefault)
+{
+  return mContent->Find(aKey) == nullptr ? std::move(aDefault) : RequireString(aKey);
+}
+
+std::int64_t toml_reader::RequireInteger(std::string_view aKey, bounds aBounds)
+{
+  const std::string expected = "an integer from " + std::to_string(aBounds.mLowest) + " to " +
+                               std::to_string(aBounds.mHighest);
+  const toml::node* node = mContent->Find(aKey);
+  if (node == nullptr) {
+    mContent->Report(aKey, nullptr, "nothing", expected);
+    return aBounds.mLowest;
+  }
+  const auto value = node->value_exact<std::int64_t>();
+  if (!value || *value < aBounds.mLowest || *value > aBounds.mHighest) {
+    mContent->Report(aKey, node, Describe(*node), expected);
+    return aBounds.mLowest;
+  }
+  return *value;
+}
+
+std::int64_t toml_reader::ReadInteger(std::string_view aKey, bounds aBounds, std::int64_t aDefault)
+{
+  return mContent->Find(aKey) == nullptr ? aDefault : RequireInteger(aKey, aBounds);
+}
+
+double toml_reader::ReadNumber(std::string_view aKey, double aDefault)
+{
+  const toml::node* node = mContent->Find(aKey);
+  if (node == nullptr) {
+    return aDefault;
+  }
+  const auto value = node->value<double>();
+  if (!node->is_number() || !value || !std::isfinite(*value) || *value < 0) {
+    mContent->Report(aKey, node, Describe(*node), "a number of zero or more");
+    return aDefault;
+  }
+  return *value;
+}
+
+bool toml_reader::ReadBoolean(std::string_view aKey, bool aDefault)
+{
+  const toml::node* node = mContent->Find(aKey);
+  if (node == nullptr) {
+    return aDefault;
+  }
+  const auto value = node->value_exact<bool>();
+  if (!value) {
+    mContent->Report(aKey, node, Describe(*node), "true or false");
+  }
+  return value.value_or(aDefault);
+}
+
+std::vector<std::string> toml_reader::ReadStrings(std::string_view aKey)
+{
+  const toml::node* node = mContent->Find(aKey);
+  if (node == nullptr) {
+    return {};
+  }
+  const toml::array* array = node->as_array();
+  if (array == nullptr) {
+    mContent->Report(aKey, node, Describe(*node), "an array of strings");
+    return {};
+  }
+  std::vector<std::string> values;
+  for (const toml::node& element : *array) {
+    const auto value = element.value_exact<std::string>();
+    if (!value || value->empty()) {
+      mContent->Report(aKey, &element, Describe(element), "a string");
+      continue;
+    }
+    values.push_back(*value);
+  }
+  return values;
+}
+
+void toml_reader::ReadTables(std::string_view aKey, const std::function<void(toml_reader&)>& aRead)
+{
+  const toml::node* node = mContent->Find(aKey);
+  if (node == nullptr) {
+    return;
+  }
+  const auto readOne = [&](const toml::table& aTable, const std::string& aPath) {
+    auto inner = std::make_unique<content>(*mContent);
+    inner->mTable = &aTable;
+    inner->mPath = aPath;
+    inner->mKeysRead.clear();
+    toml_reader reader(std::move(inner));
+    aRead(reader);
+    reader.CheckUnknownKeys();
+  };
+  if (const toml::table* table = node->as_table()) {
+    readOne(*table, mContent->GetPath(aKey));
+    return;
+  }
+  const toml::array* array = node->as_array();
+  if (array == nullptr) {
+    mContent->Report(aKey, node, Describe(*node), "an array of tables");
+    return;
+  }
+  std::size_t index = 0;
+  for (const toml::node& element : *array) {
+    const std::string path = mContent->GetPath(aKey) + "[" + std::to_string(index++) + "]";
+    const toml::table* table = element.as_table();
+    if (table == nullptr) {
+      mContent->Report(aKey, &element, Describe(element), "a table");
+      continue;
+    }
+    readOne(*table, path);
+  }
+}
+
+void toml_reader::Report(std::string_view aKey, std::string aFound, std::string aExpected)
+{
+  mContent->Report(aKey, mContent->Find(aKey), std::move(aFound), std::move(aExpected));
+}
+
+void toml_reader::CheckUnknownKeys()
+{
+  if (mContent->mTable == nullptr) {
+    return;
+  }
+  for (const auto& [key, node] : *mContent->mTable) {
+    if (!mContent->mKeysRead.contains(key.str())) {
+      mContent->Report(key.str(), &node, "an unknown key", "one of the documented keys");
+    }
+  }
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/dispatch/dispatch.h
@@ -0,0 +1,12 @@
+#ifndef CITRONPULLEY_DISPATCH_DISPATCH_H
+#define CITRONPULLEY_DISPATCH_DISPATCH_H
+
+/**
+ * @file
+ * Module `dispatch`: the life of a request at the home VM of the backend server that runs it. It
+ * depends on `base` and `wire`.
+ */
+
+#include "citronpulley/dispatch/backend_dispatcher.h"
+
+#endif
--- /dev/null
+++ b/src/citronpulley/limits/rate_ledger.cpp
@@ -0,0 +1,111 @@
+#include "citronpulley/limits/rate_ledger.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace citronpulley {
+
+namespace {
+
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+} // namespace
+
+rate_ledger::rate_ledger(double aRate, double aBurst, instant aBlockedUntil) noexcept
+  : mRate(aRate)
+  , mBurst(aBurst)
+  , mOutstanding(aBurst)
+  , mRefilledAt(aBlockedUntil)
+  , mBlockedUntil(aBlockedUntil)
+{
+  assert(aRate > 0 && aBurst > 0);
+}
+
+double rate_ledger::Lend(grant_number aGrant, double aWanted, instant aExpiresAt, instant aNow)
+{
+  assert(aWanted > 0 && !mGrants.contains(aGrant));
+  Advance(aNow);
+  const double tokens = std::min(aWanted, mLevel);
+  if (tokens <= 0) {
+    return 0;
+  }
+  mLevel -= tokens;
+  mOutstanding += tokens;
+  mGrants.emplace(aGrant, lent_tokens{ tokens, aExpiresAt });
+  mByExpiry.emplace(aExpiresAt, aGrant);
+  return tokens;
+}
+
+void rate_ledger::Settle(grant_number aGrant, double aUnspent, instant aNow)
+{
+  Advance(aNow);
+  const auto found = mGrants.find(aGrant);
+  if (found == mGrants.end()) {
+    return;
+  }
+  const double unspent = std::clamp(aUnspent, 0.0, found->second.mTokens);
+  Remove(aGrant);
+  mLevel = std::max(mLevel, std::min(mLevel + unspent, mBurst - mOutstanding));
+}
+
+void rate_ledger::Change(double aRate, double aBurst, instant aNow)
+{
+  assert(aRate > 0 && aBurst > 0);
+  Advance(aNow);
+  if (mIsBlocked) {
+    mOutstanding = std::max(mOutstanding, aBurst);
+  }
+  mRate = aRate;
+  mBurst = aBurst;
+  mLevel = std::clamp(mBurst - mOutstanding, 0.0, mLevel);
+}
+
+double rate_ledger::GetLevel(instant aNow)
+{
+  Advance(aNow);
+  return mLevel;
+}
+
+double rate_ledger::GetOutstanding(instant aNow)
+{
+  Advance(aNow);
+  return mOutstanding;
+}
+
+void rate_ledger::Advance(instant aNow)
+{
+  if (mIsBlocked) {
+    if (aNow < mBlockedUntil) {
+      return;
+    }
+    mIsBlocked = false;
+    mOutstanding = 0;
+  }
+  while (!mByExpiry.empty() && mByExpiry.begin()->first <= aNow) {
+    Refill(mByExpiry.begin()->first);
+    Remove(mByExpiry.begin()->second);
+  }
+  Refill(aNow);
+}
+
+void rate_ledger::Refill(instant aUntil)
+{
+  if (aUntil <= mRefilledAt) {
+    return;
+  }
+  const double seconds =
+    static_cast<double>((aUntil - mRefilledAt).count()) / kMicrosecondsPerSecond;
+  mRefilledAt = aUntil;
+  const double room = std::max(0.0, mBurst - mOutstanding);
+  mLevel = std::min(mLevel + seconds * mRate, std::max(room, 0.0));
+}
+
+void rate_ledger::Remove(grant_number aGrant)
+{
+  const auto found = mGrants.find(aGrant);
+  mOutstanding = std::max(0.0, mOutstanding - found->second.mTokens);
+  mByExpiry.erase({ found->second.mExpiresAt, aGrant });
+  mGrants.erase(found);
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/membership/fleet_table.cpp
@@ -0,0 +1,85 @@
+#include "citronpulley/membership/fleet_table.h"
+
+#include <utility>
+
+namespace citronpulley {
+
+void fleet_table::TakePoll(const poll& aPoll, instant aNow)
+{
+  Take(aPoll.mSender, aPoll.mHomedServers, aNow, true);
+}
+
+void fleet_table::TakeReport(const fleet_report& aReport, instant aNow)
+{
+  for (const polled_vm& vm : aReport.mVms) {
+    Take(vm.mRecord, vm.mHomedServers, aNow - microseconds(vm.mAgeMicroseconds), false);
+  }
+}
+
+void fleet_table::Expire(instant aNow)
+{
+  std::erase_if(mVms, [aNow](const auto& aEntry) {
+    return aEntry.second.mPolledAt + 10 * kSilenceLimit <= aNow;
+  });
+}
+
+fleet_report fleet_table::MakeReport(instant aNow) const
+{
+  fleet_report report;
+  for (const auto& [name, vm] : mVms) {
+    if (vm.mPollsHere && vm.mPolledAt + kSilenceLimit > aNow) {
+      report.mVms.push_back({ vm.mRecord, (aNow - vm.mPolledAt).count(), vm.mHomedServers });
+    }
+  }
+  return report;
+}
+
+std::vector<vm_record> fleet_table::ListLiveVms(instant aNow) const
+{
+  std::vector<vm_record> vms;
+  for (const auto& [name, vm] : mVms) {
+    if (vm.mPolledAt + kSilenceLimit > aNow) {
+      vms.push_back(vm.mRecord);
+    }
+  }
+  return vms;
+}
+
+std::vector<zone_summary> fleet_table::SummariseZones(instant aNow) const
+{
+  std::map<std::pair<zone_name, service_name>, zone_summary> sums;
+  for (const auto& [name, vm] : mVms) {
+    if (vm.mPolledAt + kSilenceLimit <= aNow) {
+      continue;
+    }
+    for (const zone_summary& part : vm.mHomedServers) {
+      zone_summary& sum = sums[{ part.mZone, part.mService }];
+      sum.mZone = part.mZone;
+      sum.mService = part.mService;
+      sum.mServers += part.mServers;
+      sum.mSlots += part.mSlots;
+      sum.mRunning += part.mRunning;
+    }
+  }
+  std::vector<zone_summary> list;
+  list.reserve(sums.size());
+  for (auto& [key, sum] : sums) {
+    list.push_back(std::move(sum));
+  }
+  return list;
+}
+
+void fleet_table::Take(const vm_record& aRecord,
+                       const std::vector<zone_summary>& aHomedServers,
+                       instant aPolledAt,
+                       bool aPollsHere)
+{
+  const auto [place, isNew] = mVms.try_emplace(aRecord.mVm);
+  vm_state& vm = place->second;
+  if (!isNew && (aRecord.mIncarnation < vm.mRecord.mIncarnation || aPolledAt < vm.mPolledAt)) {
+    return;
+  }
+  vm = { aRecord, aPolledAt, aHomedServers, aPollsHere };
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/node/active_request.h
@@ -0,0 +1,82 @@
+#ifndef CITRONPULLEY_NODE_ACTIVE_REQUEST_H
+#define CITRONPULLEY_NODE_ACTIVE_REQUEST_H
+
+#include "citronpulley/base/instant.h"
+#include "citronpulley/node/caller_frame.h"
+#include "citronpulley/wire/request_messages.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+
+namespace citronpulley {
+
+/** Request that came from a caller over HTTP. */
+struct caller_origin
+{
+  std::uint64_t mRequest = 0;
+
+  friend auto operator<=>(const caller_origin&, const caller_origin&) = default;
+};
+
+/** Request that another VM forwarded. */
+struct peer_origin
+{
+  vm_name mVm;
+  incarnation mIncarnation = 0;
+  std::uint64_t mForwardNumber = 0;
+  std::uint8_t mHopsLeft = 0;
+
+  friend auto operator<=>(const peer_origin&, const peer_origin&) = default;
+};
+
+/** Stage of a request at this VM. */
+enum class request_stage : std::uint8_t
+{
+  WaitsForTokens,
+  WaitsForClaim,
+  /** Forwarded to another VM, or given to the dispatcher of this one. */
+  Runs,
+};
+
+/** Request in flight at this VM. */
+struct active_request
+{
+  std::uint64_t mNumber = 0;
+  std::variant<caller_origin, peer_origin> mOrigin;
+  request_stage mStage = request_stage::WaitsForTokens;
+  service_name mService;
+  workspace_name mWorkspace;
+  instant mStartedAt;
+  instant mDeadline;
+  /** Time until which it may wait for tokens. */
+  instant mTokensBy;
+  /** Time at which an unanswered claim is sent again. */
+  instant mClaimAgainAt;
+  bool mIsIdempotent = false;
+  bool mIsUrgent = false;
+  bool mRunsAlone = false;
+  /** An earlier attempt ended with an unknown outcome. */
+  bool mMayHaveRun = false;
+  /** The caller has gone, but the outcome is still to be recorded with the claim. */
+  bool mIsDetached = false;
+  std::string mIdempotencyKey;
+  digest mFingerprint;
+  zone_name mZone;
+  /** Zones that refused the request as not run. */
+  std::set<zone_name> mTriedZones;
+  /** VM to which the present attempt went; this VM for its own dispatcher. */
+  vm_name mAttemptVm;
+  std::uint64_t mAttemptNumber = 0;
+  std::uint32_t mAttempts = 0;
+  server_name mServer;
+  trace_context mTrace;
+  std::string mSpanId;
+  backend_request mRequest;
+};
+
+} // namespace citronpulley
+
+#endif
--- /dev/null
+++ b/src/citronpulley/node/entry_node.cpp
@@ -0,0 +1,332 @@
+#include "citronpulley/node/entry_node.h"
+
+#include "citronpulley/base/overloaded.h"
+#include "citronpulley/node/announcement_reader.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace citronpulley {
+
+namespace {
+
+constexpr microseconds kHeartbeatInterval{ 250'000 };
+constexpr microseconds kTokenRequestInterval{ 50'000 };
+constexpr std::size_t kMaxNamedVmsPerZone = 3;
+
+http_answer MakeJsonAnswer(std::uint16_t aStatus, const boost::json::value& aBody)
+{
+  return { aStatus,
+           { { "Content-Type", "application/json" } },
+           boost::json::serialize(aBody) + "\n" };
+}
+
+} // namespace
+
+entry_node::entry_node(vm_record aSelf,
+                       std::vector<vm_name> aControlVms,
+                       std::string aSecret,
+                       std::uint64_t aSeed)
+  : mSelf(std::move(aSelf))
+  , mSecret(std::move(aSecret))
+  , mLink(std::move(aControlVms))
+  , mDirectory(mSelf)
+  , mFlow({ mSelf, mSecret, mLink, mWallet, mDirectory, mDispatcher, mZones }, aSeed)
+{
+}
+
+void entry_node::Handle(const node_event& aEvent, present_time aNow, node_actions& aActions)
+{
+  const instant now = aNow.mMonotonic;
+  std::visit(
+    overloaded{
+      [&](const http_request_received& aRequest) { HandleHttp(aRequest, aNow, aActions); },
+      [&](const http_client_gone& aGone) { mFlow.CancelCaller(aGone.mRequest, now, aActions); },
+      [&](const backend_finished& aFinished) {
+        std::vector<dispatcher_action> wanted;
+        mDispatcher.Finish(aFinished.mDispatch, aFinished.mOutcome, now, wanted);
+        mFlow.HandleDispatcher(std::move(wanted), now, aActions);
+      },
+      [&](const peer_message_received& aMessage) { HandlePeer(aMessage, now, aActions); },
+      [&](const peer_lost& aLost) {
+        mDirectory.MarkLost(aLost.mPeer);
+        mFlow.LosePeer(aLost.mPeer, now, aActions);
+      },
+      [&](const timer_ticked&) { HandleTick(now, aActions); },
+      [&](const stop_requested&) {
+        if (!mSelf.mIsStopping) {
+          mSelf.mIsStopping = true;
+          mStopsFrom = now + std::chrono::milliseconds(kResolveValidMilliseconds);
+        }
+      } },
+    aEvent);
+}
+
+void entry_node::HandleHttp(const http_request_received& aRequest,
+                            present_time aNow,
+                            node_actions& aActions)
+{
+  const std::string_view target = aRequest.mTarget;
+  if (target.starts_with("/svc/")) {
+    mFlow.StartCaller(aRequest, aNow, aActions);
+    return;
+  }
+  if (aRequest.mMethod == "GET" && target == "/v1/entry-vms") {
+    aActions.emplace_back(reply_to_client{ aRequest.mRequest, ListEntryVms(aRequest, aNow) });
+    return;
+  }
+  if (aRequest.mMethod == "POST" && target == "/v1/announce") {
+    Announce(aRequest, aNow, aActions);
+    return;
+  }
+  if (aRequest.mMethod == "GET" && target == "/healthz") {
+    const bool isReady = GetView().GetCatalogue() != nullptr && !mSelf.mIsStopping;
+    aActions.emplace_back(reply_to_client{
+      aRequest.mRequest,
+      MakeJsonAnswer(isReady ? 200 : 503,
+                     { { "ready", isReady },
+                       { "fresh", mLink.IsFresh(aNow.mMonotonic) },
+                       { "configuration_version", GetView().GetConfigurationVersion() } }) });
+    return;
+  }
+  aActions.emplace_back(reply_to_client{
+    aRequest.mRequest,
+    MakeErrorAnswer(
+      MakeError(error_code::NotFound, step::ReadRequest, "", "no such method and path"),
+      request_outcome::NotRun) });
+}
+
+void entry_node::HandlePeer(const peer_message_received& aMessage,
+                            instant aNow,
+                            node_actions& aActions)
+{
+  const vm_name& sender = aMessage.mSender;
+  std::visit(
+    overloaded{
+      [&](const poll_reply& aReply) { HandlePollReply(aReply, aNow, aActions); },
+      [&](const grant_reply& aReply) {
+        if (aReply.mIsLeader) {
+          mWallet.Accept(aReply, aNow);
+        } else {
+          mLink.SetLeader(aReply.mLeader);
+        }
+      },
+      [&](const claim_reply& aReply) { mFlow.AcceptClaim(aReply, aNow, aActions); },
+      [&](const claim_outcome_reply& aReply) { mFlow.AcceptRecorded(aReply); },
+      [&](const forward_request& aRequest) {
+        mFlow.StartForwarded(sender, aRequest, aNow, aActions);
+      },
+      [&](const forward_response& aResponse) {
+        mFlow.AcceptResponse(sender, aResponse, aNow, aActions);
+      },
+      [&](const forward_cancel& aCancel) { mFlow.CancelForwarded(sender, aCancel, aActions); },
+      [&](const announce_forward& aForward) {
+        TakeAnnouncement(aForward.mAnnouncement, aNow, aActions);
+      },
+      [&](const backend_update& aUpdate) { mDirectory.Update(sender, aUpdate, aNow); },
+      [&](const auto&) {
+        aActions.emplace_back(write_log{ log_level::Warning,
+                                         "an entry VM does not take the message " +
+                                           std::string(GetTypeName(aMessage.mMessage)),
+                                         sender.mValue });
+      } },
+    aMessage.mMessage);
+}
+
+void entry_node::HandlePollReply(const poll_reply& aReply, instant aNow, node_actions& aActions)
+{
+  const std::uint64_t versionBefore = GetView().GetConfigurationVersion();
+  if (!mLink.Accept(aReply, aNow)) {
+    return;
+  }
+  mZones = aReply.mZones;
+  for (const vm_record& vm : aReply.mLiveVms) {
+    const auto known = mDirectory.GetVms().find(vm.mVm);
+    const bool isNew = known == mDirectory.GetVms().end() ||
+                       known->second.mAddress != vm.mAddress ||
+                       known->second.mPeerPort != vm.mPeerPort;
+    if (isNew && vm.mVm != mSelf.mVm) {
+      aActions.emplace_back(connect_peer{ vm.mVm, vm.mAddress, vm.mPeerPort });
+    }
+  }
+  mDirectory.SetVms(aReply.mLiveVms);
+  if (GetView().GetConfigurationVersion() != versionBefore) {
+    aActions.emplace_back(write_log{ log_level::Information,
+                                     "configuration version " +
+                                       std::to_string(GetView().GetConfigurationVersion()) +
+                                       " is in force",
+                                     "" });
+  }
+}
+
+void entry_node::HandleTick(instant aNow, node_actions& aActions)
+{
+  std::vector<dispatcher_action> wanted;
+  mDispatcher.Tick(aNow, wanted);
+  mFlow.HandleDispatcher(std::move(wanted), aNow, aActions);
+  mFlow.Tick(aNow, aActions);
+  mLink.Tick(mSelf, SummariseHomedServers(aNow), aNow, aActions);
+  SendHeartbeats(aNow, aActions);
+  RequestTokens(aNow, aActions);
+  const bool mayStop = mSelf.mIsStopping && aNow >= mStopsFrom && mFlow.GetPendingCount() == 0 &&
+                       mDispatcher.GetJobCount() == 0;
+  if (mayStop) {
+    aActions.emplace_back(stop_process{});
+  }
+}
+
+void entry_node::Announce(const http_request_received& aRequest,
+                          present_time aNow,
+                          node_actions& aActions)
+{
+  const result<server_announcement> announcement = ReadAnnouncement(aRequest.mBody);
+  if (!announcement) {
+    aActions.emplace_back(reply_to_client{
+      aRequest.mRequest, MakeErrorAnswer(announcement.GetError(), request_outcome::NotRun) });
+    return;
+  }
+  const server_announcement& announced = announcement.Get();
+  const instant now = aNow.mMonotonic;
+  vm_name home = mSelf.mVm;
+  if (announced.mZone != mSelf.mZone) {
+    const std::vector<vm_name> vms = mDirectory.ListVms(announced.mZone);
+    if (vms.empty()) {
+      const error refusal = MakeError(error_code::NoBackendServer,
+                                      step::Announce,
+                                      announced.mZone.mValue,
+                                      "no VM of the zone is known");
+      aActions.emplace_back(
+        reply_to_client{ aRequest.mRequest, MakeErrorAnswer(refusal, request_outcome::NotRun) });
+      return;
+    }
+    // Each VM passes the server's announcements to the same VM of the zone, which finds the home.
+    home = vms[std::hash<std::string>{}(announced.mServer.mValue) % vms.size()];
+    aActions.emplace_back(send_peer_message{ home, announce_forward{ announced } });
+  } else {
+    TakeAnnouncement(announced, now, aActions);
+  }
+  const std::int64_t holdMilliseconds = backend_dispatcher::kHoldPeriod.count() / 1'000;
+  aActions.emplace_back(reply_to_client{
+    aRequest.mRequest,
+    MakeJsonAnswer(
+      200,
+      { { "hold_ms", holdMilliseconds },
+        { "hold_until_unix_ms", aNow.mWallClock.mMilliseconds + holdMilliseconds } }) });
+}
+
+void entry_node::TakeAnnouncement(const server_announcement& aAnnouncement,
+                                  instant aNow,
+                                  node_actions& aActions)
+{
+  if (aAnnouncement.mZone != mSelf.mZone) {
+    return;
+  }
+  const server_name& server = aAnnouncement.mServer;
+  if (!mDispatcher.IsHomed(server, aNow)) {
+    const std::optional<vm_name> present = mDirectory.FindHome(server, aNow);
+    const vm_name home = present ? *present : mDirectory.ChooseHome(server, aNow);
+    if (home != mSelf.mVm) {
+      aActions.emplace_back(send_peer_message{ home, announce_forward{ aAnnouncement } });
+      return;
+    }
+  }
+  std::vector<dispatcher_action> wanted;
+  const bool mayHaveOtherHome = mDirectory.WasHomedElsewhere(server, aAnnouncement.mInstance);
+  mDispatcher.Announce(aAnnouncement, mayHaveOtherHome, aNow, wanted);
+  mFlow.HandleDispatcher(std::move(wanted), aNow, aActions);
+}
+
+http_answer entry_node::ListEntryVms(const http_request_received& /*aRequest*/,
+                                     present_time aNow) const
+{
+  const catalogue* content = GetView().GetCatalogue();
+  const auto distance = [&](const vm_record& aVm) {
+    if (aVm.mZone == mSelf.mZone) {
+      return 0.0;
+    }
+    return 1.5 +
+           (content == nullptr ? 0 : content->GetOneWayMilliseconds(mSelf.mRegion, aVm.mRegion));
+  };
+  std::vector<vm_record> vms;
+  std::map<zone_name, std::size_t> named;
+  const auto add = [&](const vm_record& aVm) {
+    if (!aVm.mIsStopping && named[aVm.mZone] < kMaxNamedVmsPerZone) {
+      ++named[aVm.mZone];
+      vms.push_back(aVm);
+    }
+  };
+  add(mSelf);
+  for (const auto& [name, vm] : mDirectory.GetVms()) {
+    const bool isLocal = vm.mZone == mSelf.mZone;
+    if (name != mSelf.mVm && (!isLocal || mDirectory.IsAlive(name, aNow.mMonotonic))) {
+      add(vm);
+    }
+  }
+  std::stable_sort(vms.begin(), vms.end(), [&](const vm_record& aLeft, const vm_record& aRight) {
+    return distance(aLeft) < distance(aRight);
+  });
+  boost::json::array list;
+  for (const vm_record& vm : vms) {
+    list.push_back({ { "vm", vm.mVm.mValue },
+                     { "address", vm.mAddress + ":" + std::to_string(vm.mHttpPort) },
+                     { "zone", vm.mZone.mValue },
+                     { "region", vm.mRegion.mValue } });
+  }
+  return MakeJsonAnswer(
+    200,
+    { { "entry_vms", std::move(list) },
+      { "valid_until_unix_ms", aNow.mWallClock.mMilliseconds + kResolveValidMilliseconds } });
+}
+
+std::vector<zone_summary> entry_node::SummariseHomedServers(instant aNow) const
+{
+  std::map<service_name, zone_summary> summaries;
+  for (const homed_server& server : mDispatcher.ListServers(aNow)) {
+    if (!server.mTakesWork) {
+      continue;
+    }
+    zone_summary& summary = summaries[server.mService];
+    summary.mZone = mSelf.mZone;
+    summary.mService = server.mService;
+    summary.mServers += 1;
+    summary.mSlots += server.mSlots;
+    summary.mRunning += server.mRunning;
+  }
+  std::vector<zone_summary> list;
+  list.reserve(summaries.size());
+  for (auto& [service, summary] : summaries) {
+    list.push_back(std::move(summary));
+  }
+  return list;
+}
+
+void entry_node::SendHeartbeats(instant aNow, node_actions& aActions)
+{
+  if (aNow < mNextHeartbeatAt) {
+    return;
+  }
+  mNextHeartbeatAt = aNow + kHeartbeatInterval;
+  const backend_update update{ mSelf.mIncarnation,
+                               ++mHeartbeatSequence,
+                               mDispatcher.ListServers(aNow) };
+  for (const vm_name& peer : mDirectory.ListZonePeers()) {
+    aActions.emplace_back(send_peer_message{ peer, update });
+  }
+}
+
+void entry_node::RequestTokens(instant aNow, node_actions& aActions)
+{
+  if (aNow < mNextTokenRequestAt) {
+    return;
+  }
+  mNextTokenRequestAt = aNow + kTokenRequestInterval;
+  grant_request request = mWallet.MakeRequest(mSelf.mIncarnation, aNow);
+  if (!request.mDemands.empty()) {
+    aActions.emplace_back(send_peer_message{ mLink.GetLeader(), std::move(request) });
+  }
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/node/entry_node.h
@@ -0,0 +1,84 @@
+#ifndef CITRONPULLEY_NODE_ENTRY_NODE_H
+#define CITRONPULLEY_NODE_ENTRY_NODE_H
+
+#include "citronpulley/dispatch/backend_dispatcher.h"
+#include "citronpulley/limits/rate_wallet.h"
+#include "citronpulley/membership/zone_directory.h"
+#include "citronpulley/node/control_link.h"
+#include "citronpulley/node/node_actions.h"
+#include "citronpulley/node/node_events.h"
+#include "citronpulley/node/request_flow.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace citronpulley {
+
+/**
+ * All decisions of an entry VM. Pure: events and the present time come in, actions go out, and the
+ * same events at the same times give the same actions. Not thread-safe.
+ */
+class entry_node
+{
+public:
+  /** Time for which callers may cache the list of entry VMs. */
+  static constexpr std::int64_t kResolveValidMilliseconds = 10'000;
+
+  /**
+   * @param aSelf this VM
+   * @param aControlVms control VMs, nearest first; at least one
+   * @param aSecret secret of the deployment
+   * @param aSeed seed of all random choices
+   */
+  entry_node(vm_record aSelf,
+             std::vector<vm_name> aControlVms,
+             std::string aSecret,
+             std::uint64_t aSeed);
+  entry_node(const entry_node&) = delete;
+  entry_node& operator=(const entry_node&) = delete;
+
+  /**
+   * Handles an event.
+   *
+   * @param aEvent event
+   * @param aNow present time; it never goes back
+   * @param aActions gets the actions in the order in which they are to be done
+   */
+  void Handle(const node_event& aEvent, present_time aNow, node_actions& aActions);
+
+  /** @return copy of the replicated state that the node serves from */
+  const state_view& GetView() const noexcept { return mLink.GetView(); }
+
+private:
+  void HandleHttp(const http_request_received& aRequest, present_time aNow, node_actions& aActions);
+  void HandlePeer(const peer_message_received& aMessage, instant aNow, node_actions& aActions);
+  void HandlePollReply(const poll_reply& aReply, instant aNow, node_actions& aActions);
+  void HandleTick(instant aNow, node_actions& aActions);
+  void Announce(const http_request_received& aRequest, present_time aNow, node_actions& aActions);
+  void TakeAnnouncement(const server_announcement& aAnnouncement,
+                        instant aNow,
+                        node_actions& aActions);
+  http_answer ListEntryVms(const http_request_received& aRequest, present_time aNow) const;
+  std::vector<zone_summary> SummariseHomedServers(instant aNow) const;
+  void SendHeartbeats(instant aNow, node_actions& aActions);
+  void RequestTokens(instant aNow, node_actions& aActions);
+
+  vm_record mSelf;
+  std::string mSecret;
+  control_link mLink;
+  rate_wallet mWallet;
+  zone_directory mDirectory;
+  backend_dispatcher mDispatcher;
+  std::vector<zone_summary> mZones;
+  request_flow mFlow;
+  std::uint64_t mHeartbeatSequence = 0;
+  instant mNextHeartbeatAt;
+  instant mNextTokenRequestAt;
+  /** When the process stops, time at which the last cached list with this VM has expired. */
+  instant mStopsFrom;
+};
+
+} // namespace citronpulley
+
+#endif
--- /dev/null
+++ b/src/citronpulley/node/node_actions.h
@@ -0,0 +1,121 @@
+#ifndef CITRONPULLEY_NODE_NODE_ACTIONS_H
+#define CITRONPULLEY_NODE_NODE_ACTIONS_H
+
+#include "citronpulley/dispatch/backend_dispatcher.h"
+#include "citronpulley/wire/peer_message.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/**
+ * @file
+ * Actions that a node wants done.
+ */
+
+namespace citronpulley {
+
+/** Sends the reply to an HTTP request. */
+struct reply_to_client
+{
+  std::uint64_t mRequest = 0;
+  http_answer mAnswer;
+
+  friend auto operator<=>(const reply_to_client&, const reply_to_client&) = default;
+};
+
+/** Sends a message to another process. */
+struct send_peer_message
+{
+  vm_name mReceiver;
+  peer_message mMessage;
+
+  friend auto operator<=>(const send_peer_message&, const send_peer_message&) = default;
+};
+
+/** Makes the address of another process known. */
+struct connect_peer
+{
+  vm_name mPeer;
+  std::string mAddress;
+  std::uint16_t mPeerPort = 0;
+
+  friend auto operator<=>(const connect_peer&, const connect_peer&) = default;
+};
+
+/** Severity of a log line. */
+enum class log_level : std::uint8_t
+{
+  Information,
+  Warning,
+  Error,
+};
+
+/** Writes a log line. */
+struct write_log
+{
+  log_level mLevel = log_level::Information;
+  std::string mMessage;
+  std::string mPeer;
+
+  friend auto operator<=>(const write_log&, const write_log&) = default;
+};
+
+/** End of a request at this VM, for metrics and as a span. */
+struct record_request
+{
+  std::string mTraceId;
+  std::string mParentSpanId;
+  std::string mSpanId;
+  /** Part of this VM: `entry`, or `home` for a request that another VM forwarded. */
+  std::string mHop;
+  service_name mService;
+  workspace_name mWorkspace;
+  server_name mServer;
+  /** HTTP status of the reply. */
+  std::uint16_t mStatus = 0;
+  /** Stable code of the error; `ok` for an answer. */
+  std::string mCode;
+  instant mStartedAt;
+  instant mEndedAt;
+  std::uint32_t mAttempts = 0;
+  /** Refused for its rate although the workspace was inside it, as far as this VM can tell. */
+  bool mIsRefusedInsideRate = false;
+
+  friend auto operator<=>(const record_request&, const record_request&) = default;
+};
+
+/** Sets a gauge of the metrics page. */
+struct set_gauge
+{
+  std::string mName;
+  /** Label text such as `zone="a"`; may be empty. */
+  std::string mLabels;
+  double mValue = 0;
+
+  friend auto operator<=>(const set_gauge&, const set_gauge&) = default;
+};
+
+/** The node has nothing left to do after a graceful stop; the process may end. */
+struct stop_process
+{
+  friend auto operator<=>(const stop_process&, const stop_process&) = default;
+};
+
+/** Action of a node. */
+using node_action = std::variant<reply_to_client,
+                                 send_peer_message,
+                                 connect_peer,
+                                 send_to_backend,
+                                 cancel_backend,
+                                 write_log,
+                                 record_request,
+                                 set_gauge,
+                                 stop_process>;
+
+using node_actions = std::vector<node_action>;
+
+} // namespace citronpulley
+
+#endif
--- /dev/null
+++ b/src/citronpulley/node/node_events.h
@@ -0,0 +1,91 @@
+#ifndef CITRONPULLEY_NODE_NODE_EVENTS_H
+#define CITRONPULLEY_NODE_NODE_EVENTS_H
+
+#include "citronpulley/dispatch/backend_dispatcher.h"
+#include "citronpulley/wire/peer_message.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/**
+ * @file
+ * Events that a node handles.
+ */
+
+namespace citronpulley {
+
+/** Whole HTTP request of a caller, a backend server or an operator. */
+struct http_request_received
+{
+  /** Number by which the reply names the request; unique in the process. */
+  std::uint64_t mRequest = 0;
+  std::string mMethod;
+  std::string mTarget;
+  std::vector<http_header> mHeaders;
+  std::string mBody;
+  /** IP number of the client. */
+  std::string mClientAddress;
+
+  friend auto operator<=>(const http_request_received&, const http_request_received&) = default;
+};
+
+/** The client of a request closed its connection before the reply. */
+struct http_client_gone
+{
+  std::uint64_t mRequest = 0;
+
+  friend auto operator<=>(const http_client_gone&, const http_client_gone&) = default;
+};
+
+/** Outcome of a request that was sent to a backend server. */
+struct backend_finished
+{
+  std::uint64_t mDispatch = 0;
+  backend_outcome mOutcome;
+
+  friend bool operator==(const backend_finished&, const backend_finished&) = default;
+};
+
+/** Message of another process, already authenticated. */
+struct peer_message_received
+{
+  vm_name mSender;
+  peer_message mMessage;
+
+  friend auto operator<=>(const peer_message_received&, const peer_message_received&) = default;
+};
+
+/** The connection to another process closed or went silent. */
+struct peer_lost
+{
+  vm_name mPeer;
+
+  friend auto operator<=>(const peer_lost&, const peer_lost&) = default;
+};
+
+/** Time has passed; sent every few milliseconds. */
+struct timer_ticked
+{
+  friend auto operator<=>(const timer_ticked&, const timer_ticked&) = default;
+};
+
+/** The process is asked to stop gracefully. */
+struct stop_requested
+{
+  friend auto operator<=>(const stop_requested&, const stop_requested&) = default;
+};
+
+/** Event for a node. */
+using node_event = std::variant<http_request_received,
+                                http_client_gone,
+                                backend_finished,
+                                peer_message_received,
+                                peer_lost,
+                                timer_ticked,
+                                stop_requested>;
+
+} // namespace citronpulley
+
+#endif
--- /dev/null
+++ b/src/citronpulley/node/request_flow.h
@@ -0,0 +1,158 @@
+#ifndef CITRONPULLEY_NODE_REQUEST_FLOW_H
+#define CITRONPULLEY_NODE_REQUEST_FLOW_H
+
+#include "citronpulley/dispatch/backend_dispatcher.h"
+#include "citronpulley/limits/rate_wallet.h"
+#include "citronpulley/membership/zone_directory.h"
+#include "citronpulley/node/active_request.h"
+#include "citronpulley/node/control_link.h"
+#include "citronpulley/node/node_actions.h"
+#include "citronpulley/routing/routing_policy.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace citronpulley {
+
+/** Parts of an entry node that a request passes; they outlive the flow. */
+struct flow_parts
+{
+  const vm_record& mSelf;
+  const std::string& mSecret;
+  control_link& mLink;
+  rate_wallet& mWallet;
+  zone_directory& mDirectory;
+  backend_dispatcher& mDispatcher;
+  const std::vector<zone_summary>& mZones;
+};
+
+/**
+ * Life of each request at an entry VM: check, admit, claim, route, run, answer.
+ *
+ * A request that may have run is never sent again unless it is idempotent. A refusal says `not_run`
+ * only when each attempt was proved not to have run.
+ */
+class request_flow
+{
+public:
+  /** Longest wait for tokens of a rate. */
+  static constexpr microseconds kMaxTokenWait{ 150'000 };
+  /** Most attempts of one request. */
+  static constexpr std::uint32_t kMaxAttempts = 3;
+
+  request_flow(flow_parts aParts, std::uint64_t aSeed);
+
+  /** Takes a caller's request to `/svc/…`. */
+  void StartCaller(const http_request_received& aRequest,
+                   present_time aNow,
+                   node_actions& aActions);
+
+  /** Takes a request that another VM forwarded. */
+  void StartForwarded(const vm_name& aSender,
+                      const forward_request& aRequest,
+                      instant aNow,
+                      node_actions& aActions);
+
+  /** The caller of a request has gone. */
+  void CancelCaller(std::uint64_t aRequest, instant aNow, node_actions& aActions);
+
+  /** The VM that forwarded a request gave it up. */
+  void CancelForwarded(const vm_name& aSender,
+                       const forward_cancel& aCancel,
+                       node_actions& aActions);
+
+  /** Takes the answer of the VM to which a request was forwarded. */
+  void AcceptResponse(const vm_name& aSender,
+                      const forward_response& aResponse,
+                      instant aNow,
+                      node_actions& aActions);
+
+  /** Takes the verdict on a claim. */
+  void AcceptClaim(const claim_reply& aReply, instant aNow, node_actions& aActions);
+
+  /** Takes the acknowledgement of a recorded outcome. */
+  void AcceptRecorded(const claim_outcome_reply& aReply);
+
+  /** The connection to a VM is gone: requests forwarded to it may have run. */
+  void LosePeer(const vm_name& aPeer, instant aNow, node_actions& aActions);
+
+  /** Carries out what the dispatcher of this VM wants. */
+  void HandleDispatcher(std::vector<dispatcher_action> aWanted,
+                        instant aNow,
+                        node_actions& aActions);
+
+  /** Tries waiting requests again and ends those whose deadline is over. */
+  void Tick(instant aNow, node_actions& aActions);
+
+  /** @return requests in flight and outcomes that are not recorded yet */
+  std::size_t GetPendingCount() const noexcept { return mRequests.size() + mOutcomes.size(); }
+
+private:
+  struct unrecorded_outcome
+  {
+    claim_outcome mOutcome;
+    instant mSendAgainAt;
+  };
+
+  std::optional<error> Prepare(const caller_frame& aFrame,
+                               active_request& aRequest,
+                               instant aNow) const;
+  std::optional<error> Authenticate(const caller_frame& aFrame,
+                                    active_request& aRequest,
+                                    instant aNow) const;
+  void Admit(active_request& aRequest, bool aIsRetry, instant aNow, node_actions& aActions);
+  void SendClaim(active_request& aRequest, instant aNow, node_actions& aActions);
+  void Run(active_request& aRequest, instant aNow, node_actions& aActions);
+  void RunInZone(active_request& aRequest, instant aNow, node_actions& aActions);
+  void RunHere(active_request& aRequest, instant aNow, node_actions& aActions);
+  void Forward(active_request& aRequest,
+               const vm_name& aReceiver,
+               std::uint8_t aHops,
+               instant aNow,
+               node_actions& aActions);
+  bool ChooseZone(active_request& aRequest, instant aNow);
+  std::map<std::string, double> GetCosts(const active_request& aRequest, instant aNow) const;
+  void FailAttempt(std::uint64_t aNumber,
+                   const request_failure& aFailure,
+                   instant aNow,
+                   node_actions& aActions);
+  void FinishAnswered(std::uint64_t aNumber,
+                      const http_answer& aAnswer,
+                      instant aNow,
+                      node_actions& aActions);
+  void FinishFailed(std::uint64_t aNumber,
+                    const request_failure& aFailure,
+                    instant aNow,
+                    node_actions& aActions);
+  void Reply(const active_request& aRequest,
+             const forward_response& aResponse,
+             instant aNow,
+             node_actions& aActions);
+  void RecordOutcome(const active_request& aRequest,
+                     const http_answer* aAnswer,
+                     instant aNow,
+                     node_actions& aActions);
+  void Abandon(active_request& aRequest, node_actions& aActions);
+  active_request* FindAttempt(std::uint64_t aAttempt, const vm_name& aVm) noexcept;
+  claim_holder MakeHolder(const active_request& aRequest) const;
+  std::string DrawSpanId();
+
+  flow_parts mParts;
+  std::mt19937_64 mRandom;
+  std::unique_ptr<routing_policy> mPolicy;
+  std::string mPolicyName;
+  std::map<std::uint64_t, active_request> mRequests;
+  std::map<std::uint64_t, std::uint64_t> mByAttempt;
+  std::map<claim_holder, unrecorded_outcome> mOutcomes;
+  std::uint64_t mLastNumber = 0;
+  std::uint64_t mLastAttempt = 0;
+};
+
+} // namespace citronpulley
+
+#endif
--- /dev/null
+++ b/src/citronpulley/runtime/peer_bus.cpp
@@ -0,0 +1,236 @@
+#include "citronpulley/runtime/peer_bus.h"
+
+#include "citronpulley/runtime/duty_inbox.h"
+#include "citronpulley/runtime/duty_thread.h"
+#include "citronpulley/runtime/system_clock.h"
+#include "citronpulley/wire/peer_session.h"
+
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include <charconv>
+#include <map>
+#include <utility>
+
+namespace citronpulley {
+
+namespace {
+
+constexpr std::size_t kInboxCapacity = 65'536;
+constexpr int kSendBufferMessages = 1'024;
+constexpr std::size_t kMaxFrameBytes = 16UL * 1024 * 1024;
+constexpr nng_duration kMinReconnectMilliseconds = 50;
+constexpr nng_duration kMaxReconnectMilliseconds = 500;
+
+error MakeNngError(int aCode, const std::string& aPeer)
+{
+  return MakeError(error_code::Internal, step::Connect, aPeer, nng_strerror(aCode));
+}
+
+} // namespace
+
+struct peer_bus::content
+{
+  struct peer_link
+  {
+    std::string mUrl;
+    nng_socket mSocket{};
+    content* mBus = nullptr;
+    vm_name mPeer;
+  };
+
+  content(duty_thread& aThread, const peer_identity& aIdentity, handlers aHandlers)
+    : mThread(aThread)
+    , mSession(aIdentity.mDeployment,
+               aIdentity.mSecret,
+               aIdentity.mVm,
+               aIdentity.mIncarnation,
+               aIdentity.mAddress + ":" + std::to_string(aIdentity.mPort))
+    , mHandlers(std::move(aHandlers))
+    , mLocalAddress(aIdentity.mAddress)
+    , mLocalPort(aIdentity.mPort)
+    , mFrames(aThread, kInboxCapacity, [this](const std::string& aFrame) { Open(aFrame); })
+  {
+  }
+
+  ~content()
+  {
+    if (mReceiver != nullptr) {
+      nng_aio_stop(mReceiver);
+    }
+    if (mIsListening) {
+      nng_close(mPull);
+    }
+    for (auto& [peer, link] : mLinks) {
+      nng_close(link->mSocket);
+    }
+    if (mReceiver != nullptr) {
+      nng_aio_free(mReceiver);
+    }
+  }
+
+  content(const content&) = delete;
+  content& operator=(const content&) = delete;
+
+  void Connect(const vm_name& aPeer, const std::string& aAddress, std::uint16_t aPort);
+
+  void Open(const std::string& aFrame)
+  {
+    result<received_frame> frame = mSession.Open(aFrame);
+    if (!frame) {
+      mHandlers.mOnRefused(frame.GetError());
+      return;
+    }
+    ConnectBack(frame.Get());
+    for (const outgoing_frame& reply : frame.Get().mReplies) {
+      SendFrame(reply);
+    }
+    if (!frame.Get().mPayload) {
+      return;
+    }
+    result<peer_message> message = DecodeMessage(*frame.Get().mPayload);
+    if (!message) {
+      mHandlers.mOnRefused(message.GetError());
+      return;
+    }
+    mHandlers.mOnMessage({ frame.Get().mSender, std::move(message.Get()) });
+  }
+
+  /** Connects to the sender of a hello that is not known yet. */
+  void ConnectBack(const received_frame& aFrame)
+  {
+    const std::string& address = aFrame.mSenderAddress;
+    const std::size_t colon = address.rfind(':');
+    std::uint16_t port = 0;
+    if (colon == std::string::npos || mLinks.contains(aFrame.mSender)) {
+      return;
+    }
+    std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    Connect(aFrame.mSender, address.substr(0, colon), port);
+  }
+
+  void SendFrame(const outgoing_frame& aFrame)
+  {
+    const auto found = mLinks.find(aFrame.mReceiver);
+    if (found == mLinks.end()) {
+      return;
+    }
+    // nng copies the bytes of a send without NNG_FLAG_ALLOC.
+    nng_send(
+      found->second->mSocket,
+      const_cast<char*>(aFrame.mBytes.data()), // NOLINT(cppcoreguidelines-pro-type-const-cast)
+      aFrame.mBytes.size(),
+      NNG_FLAG_NONBLOCK);
+  }
+
+  /** Runs on a thread of nng. */
+  static void HandleReceived(void* aBus)
+  {
+    auto& bus = *static_cast<content*>(aBus);
+    if (nng_aio_result(bus.mReceiver) != 0) {
+      return;
+    }
+    nng_msg* message = nng_aio_get_msg(bus.mReceiver);
+    std::string frame(static_cast<const char*>(nng_msg_body(message)), nng_msg_len(message));
+    nng_msg_free(message);
+    // A full inbox drops the frame, as a full network would.
+    bus.mFrames.TryPush(frame);
+    nng_recv_aio(bus.mPull, bus.mReceiver);
+  }
+
+  /** Runs on a thread of nng when a connection to a peer closes. */
+  static void HandleClosed(nng_pipe /*aPipe*/, nng_pipe_ev /*aEvent*/, void* aLink)
+  {
+    const auto& link = *static_cast<const peer_link*>(aLink);
+    content& bus = *link.mBus;
+    bus.mThread.Post([&bus, peer = link.mPeer] { bus.mHandlers.mOnLost({ peer }); });
+  }
+
+  duty_thread& mThread;
+  peer_session mSession;
+  handlers mHandlers;
+  std::string mLocalAddress;
+  std::uint16_t mLocalPort;
+  duty_inbox<std::string> mFrames;
+  nng_socket mPull{};
+  nng_aio* mReceiver = nullptr;
+  bool mIsListening = false;
+  std::map<vm_name, std::unique_ptr<peer_link>> mLinks;
+};
+
+void peer_bus::content::Connect(const vm_name& aPeer,
+                                const std::string& aAddress,
+                                std::uint16_t aPort)
+{
+  const std::string url = "tcp://" + mLocalAddress + ";" + aAddress + ":" + std::to_string(aPort);
+  std::unique_ptr<peer_link>& link = mLinks[aPeer];
+  if (link != nullptr && link->mUrl == url) {
+    return;
+  }
+  if (link != nullptr) {
+    nng_close(link->mSocket);
+  }
+  link = std::make_unique<peer_link>();
+  link->mUrl = url;
+  link->mBus = this;
+  link->mPeer = aPeer;
+  if (const int code = nng_push0_open(&link->mSocket); code != 0) {
+    mHandlers.mOnRefused(MakeNngError(code, aPeer.mValue));
+    mLinks.erase(aPeer);
+    return;
+  }
+  nng_socket_set_int(link->mSocket, NNG_OPT_SENDBUF, kSendBufferMessages);
+  nng_socket_set_ms(link->mSocket, NNG_OPT_RECONNMINT, kMinReconnectMilliseconds);
+  nng_socket_set_ms(link->mSocket, NNG_OPT_RECONNMAXT, kMaxReconnectMilliseconds);
+  nng_pipe_notify(link->mSocket, NNG_PIPE_EV_REM_POST, &HandleClosed, link.get());
+  if (const int code = nng_dial(link->mSocket, url.c_str(), nullptr, NNG_FLAG_NONBLOCK);
+      code != 0) {
+    mHandlers.mOnRefused(MakeNngError(code, aPeer.mValue));
+  }
+}
+
+peer_bus::peer_bus(duty_thread& aThread, const peer_identity& aIdentity, handlers aHandlers)
+  : mContent(std::make_shared<content>(aThread, aIdentity, std::move(aHandlers)))
+{
+}
+
+peer_bus::~peer_bus() = default;
+
+status peer_bus::Listen()
+{
+  content& bus = *mContent;
+  const std::string url = "tcp://" + bus.mLocalAddress + ":" + std::to_string(bus.mLocalPort);
+  int code = nng_pull0_open(&bus.mPull);
+  if (code != 0) {
+    return MakeNngError(code, url);
+  }
+  bus.mIsListening = true;
+  nng_socket_set_size(bus.mPull, NNG_OPT_RECVMAXSZ, kMaxFrameBytes);
+  code = nng_listen(bus.mPull, url.c_str(), nullptr, 0);
+  if (code != 0) {
+    return MakeNngError(code, url);
+  }
+  code = nng_aio_alloc(&bus.mReceiver, &content::HandleReceived, &bus);
+  if (code != 0) {
+    return MakeNngError(code, url);
+  }
+  nng_recv_aio(bus.mPull, bus.mReceiver);
+  return std::monostate{};
+}
+
+void peer_bus::Connect(const vm_name& aPeer, const std::string& aAddress, std::uint16_t aPort)
+{
+  mContent->Connect(aPeer, aAddress, aPort);
+}
+
+void peer_bus::Send(const vm_name& aPeer, const peer_message& aMessage)
+{
+  const std::optional<outgoing_frame> frame =
+    mContent->mSession.Seal(aPeer, EncodeMessage(aMessage), ReadPresentTime().mMonotonic);
+  if (frame) {
+    mContent->SendFrame(*frame);
+  }
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/state/claim_table.h
@@ -0,0 +1,110 @@
+#ifndef CITRONPULLEY_STATE_CLAIM_TABLE_H
+#define CITRONPULLEY_STATE_CLAIM_TABLE_H
+
+#include "citronpulley/base/instant.h"
+#include "citronpulley/wire/request_messages.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace citronpulley {
+
+/** Stage of a claim. */
+enum class claim_stage : std::uint8_t
+{
+  Claimed,
+  Completed,
+  Released,
+};
+
+/** Claim of an idempotency key. */
+struct claim_record
+{
+  claim_holder mHolder;
+  digest mRequestDigest;
+  claim_stage mStage = claim_stage::Claimed;
+  bool mHasWholeAnswer = false;
+  http_answer mAnswer;
+
+  friend auto operator<=>(const claim_record&, const claim_record&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mHolder, mRequestDigest, mStage, mHasWholeAnswer, mAnswer);
+  }
+};
+
+/**
+ * Reads the time from an idempotency key.
+ *
+ * @param aKey UUID of version 7 in text form
+ * @return the time of the key, or nothing when it is not such a UUID
+ */
+std::optional<unix_time> ReadIdempotencyKeyTime(std::string_view aKey) noexcept;
+
+/**
+ * Claims of idempotency keys, part of the replicated state. Deterministic: each replica gets the
+ * same calls in the same order. The table remembers the newest key time that has ever been outside
+ * the window, and refuses keys up to it for good; so a claim can be removed then, and a window that
+ * operators make longer later, or a leader whose clock is behind, cannot make a removed key valid
+ * again.
+ */
+class claim_table
+{
+public:
+  /** Longest answer that is kept with a claim, in bytes. */
+  static constexpr std::size_t kMaxKeptAnswerBytes = 4096;
+  /** Largest number of claims; new ones are refused beyond it, and none is ever dropped early. */
+  static constexpr std::size_t kMaxClaims = 1'000'000;
+  /** Tolerated difference by which a caller's clock may be ahead, in milliseconds. */
+  static constexpr std::int64_t kMaxFutureMilliseconds = 60'000;
+
+  /**
+   * Decides a claim.
+   *
+   * @param aRequest claim
+   * @param aNow time of the command
+   * @return the verdict for the holder
+   */
+  claim_reply Claim(const claim_request& aRequest, unix_time aNow);
+
+  /**
+   * Records the outcome that a holder reports. A report of an earlier holder changes nothing.
+   *
+   * @return the acknowledgement
+   */
+  claim_outcome_reply Record(const claim_outcome& aOutcome);
+
+  /**
+   * Removes claims whose keys are outside the window. Call it before each Claim().
+   *
+   * @param aNow time of the command
+   * @param aWindowMilliseconds window of the operators' text
+   */
+  void Expire(unix_time aNow, std::int64_t aWindowMilliseconds);
+
+  /** @return number of claims */
+  std::size_t GetCount() const noexcept { return mClaims.size(); }
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mClaims, mByKeyTime, mRefusedUntil);
+  }
+
+private:
+  std::map<claim_key, claim_record> mClaims;
+  std::set<std::pair<std::int64_t, claim_key>> mByKeyTime;
+  /** Keys with this time or an earlier one are refused, in milliseconds since 1970. */
+  std::int64_t mRefusedUntil = 0;
+};
+
+} // namespace citronpulley
+
+#endif
--- /dev/null
+++ b/src/citronpulley/state/state.h
@@ -0,0 +1,15 @@
+#ifndef CITRONPULLEY_STATE_STATE_H
+#define CITRONPULLEY_STATE_STATE_H
+
+/**
+ * @file
+ * Module `state`: the replicated state machine of the control group, and the copy of its part that
+ * entry VMs serve from. It depends on `base`, `config` and `wire`.
+ */
+
+#include "citronpulley/state/apply_result.h"
+#include "citronpulley/state/command.h"
+#include "citronpulley/state/control_state.h"
+#include "citronpulley/state/state_view.h"
+
+#endif
--- /dev/null
+++ b/src/programs/citronpulley_ctl.cpp
@@ -0,0 +1,383 @@
+#include "citronpulley/config/catalogue.h"
+#include "citronpulley/runtime/daemon_options.h"
+#include "citronpulley/runtime/http_client.h"
+#include "citronpulley/runtime/node_runner.h"
+
+#include <boost/json.hpp>
+#include <cxxopts.hpp>
+#include <sodium.h>
+
+#include <algorithm>
+#include <iostream>
+#include <sstream>
+#include <vector>
+
+using namespace citronpulley;
+
+namespace {
+
+constexpr const char* kUsage = R"(Commands:
+  check FILE                 check an operators' text; needs no control VM
+  submit FILE                submit a text; --expected VERSION or the version in force at the start
+  show                       print the text in force
+  compare FILE               compare a file with the text in force, line by line
+  key give WORKSPACE         make a key for a workspace and print it once
+  key withdraw ID            withdraw a key; in force everywhere within 2 s of the reply
+  key list                   list the keys in force
+  drain NAME                 add a region or zone to the drained ones of the text in force
+  undrain NAME               remove it again
+  fleet                      print the state of the fleet
+  quarantine list            list requests that are suspected of crashing backend servers
+  quarantine clear ID        end the suspicion against a request
+Exit codes: 0 done, 1 refused or failed, 2 wrong usage.
+)";
+
+constexpr std::size_t kSecretBytes = 32;
+constexpr std::size_t kIdBytes = 8;
+
+/** How to reach the control VMs and how to print. */
+struct session_options
+{
+  std::vector<std::string> mControlVms;
+  std::string mOperatorKey;
+  bool mPrintsJson = false;
+  std::int64_t mExpectedVersion = -1;
+  std::string mSubmission;
+};
+
+std::string DrawHex(std::size_t aBytes)
+{
+  std::string bytes(aBytes, '\0');
+  randombytes_buf(bytes.data(), bytes.size());
+  std::string text(aBytes * 2 + 1, '\0');
+  sodium_bin2hex(
+    text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size());
+  text.pop_back();
+  return text;
+}
+
+/** Asks the control VMs in turn until one answers with something other than "not the leader". */
+result<http_answer> Call(const session_options& aOptions,
+                         const std::string& aMethod,
+                         const std::string& aTarget,
+                         const std::string& aBody)
+{
+  result<http_answer> last =
+    MakeError(error_code::BadRequest, step::Connect, "", "no control VM is given; see --control");
+  for (const std::string& address : aOptions.mControlVms) {
+    client_call call{
+      address, aMethod, aTarget, { { "Authorization", "Bearer " + aOptions.mOperatorKey } }, aBody
+    };
+    last = CallHttp(call);
+    if (last && last.Get().mStatus != 503) {
+      return last;
+    }
+  }
+  return last;
+}
+
+/** Prints an answer and gives the exit code that fits. */
+int Print(const result<http_answer>& aAnswer, const session_options& aOptions)
+{
+  if (!aAnswer) {
+    std::cerr << aAnswer.GetError().mPeer << ": " << aAnswer.GetError().mMessage << "\n";
+    return ExitFailure;
+  }
+  const http_answer& answer = aAnswer.Get();
+  const bool isSuccess = answer.mStatus < 300;
+  std::ostream& stream = isSuccess ? std::cout : std::cerr;
+  boost::system::error_code failure;
+  const boost::json::value document = boost::json::parse(answer.mBody, failure);
+  if (aOptions.mPrintsJson || failure || !document.is_object()) {
+    stream << answer.mBody;
+    return isSuccess ? ExitSuccess : ExitFailure;
+  }
+  for (const auto& [name, value] : document.get_object()) {
+    if (!value.is_array()) {
+      stream << name << ": "
+             << (value.is_string() ? std::string(value.get_string())
+                                   : boost::json::serialize(value))
+             << "\n";
+      continue;
+    }
+    stream << name << ":\n";
+    for (const boost::json::value& row : value.get_array()) {
+      stream << "  " << boost::json::serialize(row) << "\n";
+    }
+  }
+  return isSuccess ? ExitSuccess : ExitFailure;
+}
+
+/** Reads the text in force. */
+result<boost::json::object> FetchConfiguration(const session_options& aOptions)
+{
+  const result<http_answer> answer = Call(aOptions, "GET", "/v1/config", "");
+  if (!answer) {
+    return answer.GetError();
+  }
+  boost::system::error_code failure;
+  boost::json::value document = boost::json::parse(answer.Get().mBody, failure);
+  if (answer.Get().mStatus != 200 || failure || !document.is_object()) {
+    return MakeError(error_code::BadRequest, step::Submit, "", answer.Get().mBody);
+  }
+  return std::move(document.get_object());
+}
+
+int PrintError(const error& aError)
+{
+  std::cerr << (aError.mPeer.empty() ? "citronpulley_ctl" : aError.mPeer) << ": " << aError.mMessage
+            << "\n";
+  return ExitFailure;
+}
+
+int Submit(const session_options& aOptions, const std::string& aText, std::int64_t aExpected)
+{
+  const std::string submission =
+    aOptions.mSubmission.empty() ? DrawHex(kIdBytes) : aOptions.mSubmission;
+  const boost::json::object body{ { "submission", submission },
+                                  { "expected_version", aExpected },
+                                  { "text", aText } };
+  const result<http_answer> answer =
+    Call(aOptions, "POST", "/v1/config", boost::json::serialize(body));
+  if (!answer) {
+    std::cerr << "the outcome is unknown; send the same text again with --submission " << submission
+              << " --expected " << aExpected << "\n";
+  }
+  return Print(answer, aOptions);
+}
+
+int SubmitFile(const session_options& aOptions, const std::string& aPath)
+{
+  const result<std::string> text = ReadFile(aPath);
+  if (!text) {
+    return PrintError(text.GetError());
+  }
+  std::int64_t expected = aOptions.mExpectedVersion;
+  if (expected < 0) {
+    const result<boost::json::object> present = FetchConfiguration(aOptions);
+    if (!present) {
+      return PrintError(present.GetError());
+    }
+    expected = present.Get().at("version").to_number<std::int64_t>();
+  }
+  return Submit(aOptions, text.Get(), expected);
+}
+
+int CheckFile(const std::string& aPath)
+{
+  const result<std::string> text = ReadFile(aPath);
+  if (!text) {
+    return PrintError(text.GetError());
+  }
+  config_faults faults;
+  ParseCatalogue(text.Get(), aPath, faults);
+  for (const config_fault& fault : faults) {
+    std::cerr << ToString(fault) << "\n";
+  }
+  if (faults.empty()) {
+    std::cout << "the text is valid\n";
+  }
+  return faults.empty() ? ExitSuccess : ExitFailure;
+}
+
+std::vector<std::string> SplitLines(const std::string& aText)
+{
+  std::vector<std::string> lines;
+  std::istringstream stream(aText);
+  for (std::string line; std::getline(stream, line);) {
+    lines.push_back(line);
+  }
+  return lines;
+}
+
+int Compare(const session_options& aOptions, const std::string& aPath)
+{
+  const result<std::string> text = ReadFile(aPath);
+  if (!text) {
+    return PrintError(text.GetError());
+  }
+  const result<boost::json::object> present = FetchConfiguration(aOptions);
+  if (!present) {
+    return PrintError(present.GetError());
+  }
+  const std::vector<std::string> inForce =
+    SplitLines(std::string(present.Get().at("text").as_string()));
+  const std::vector<std::string> inFile = SplitLines(text.Get());
+  bool isEqual = true;
+  for (std::size_t line = 0; line < std::max(inForce.size(), inFile.size()); ++line) {
+    const std::string left = line < inForce.size() ? inForce[line] : "";
+    const std::string right = line < inFile.size() ? inFile[line] : "";
+    if (left != right) {
+      isEqual = false;
+      std::cout << line + 1 << ": in force: " << left << "\n"
+                << line + 1 << ": in file:  " << right << "\n";
+    }
+  }
+  return isEqual ? ExitSuccess : ExitFailure;
+}
+
+/** Adds a name to a top-level array of names, or removes it, and keeps the rest of the text. */
+std::string EditNames(const std::string& aText,
+                      const std::string& aKey,
+                      std::vector<std::string> aNames)
+{
+  std::string line = aKey + " = [";
+  for (std::size_t index = 0; index < aNames.size(); ++index) {
+    line += (index == 0 ? "\"" : ", \"") + aNames[index] + "\"";
+  }
+  line += "]";
+  std::string edited;
+  bool isReplaced = false;
+  for (const std::string& present : SplitLines(aText)) {
+    if (present.starts_with(aKey)) {
+      edited += line + "\n";
+      isReplaced = true;
+    } else {
+      edited += present + "\n";
+    }
+  }
+  return isReplaced ? edited : line + "\n" + edited;
+}
+
+int Drain(const session_options& aOptions, const std::string& aName, bool aIsDrained)
+{
+  const result<boost::json::object> present = FetchConfiguration(aOptions);
+  if (!present) {
+    return PrintError(present.GetError());
+  }
+  const std::string text(present.Get().at("text").as_string());
+  config_faults faults;
+  const std::optional<catalogue> content = ParseCatalogue(text, "configuration", faults);
+  if (!content) {
+    std::cerr << "no text is in force\n";
+    return ExitFailure;
+  }
+  const bool isRegion = content->FindRegion(region_name(aName)) != nullptr;
+  if (!isRegion && content->FindRegionOfZone(zone_name(aName)) == nullptr) {
+    std::cerr << aName << ": no region or zone of the text in force\n";
+    return ExitFailure;
+  }
+  std::vector<std::string> names;
+  for (const region_name& region : content->mDrainedRegions) {
+    if (isRegion) {
+      names.push_back(region.mValue);
+    }
+  }
+  for (const zone_name& zone : content->mDrainedZones) {
+    if (!isRegion) {
+      names.push_back(zone.mValue);
+    }
+  }
+  std::erase(names, aName);
+  if (aIsDrained) {
+    names.push_back(aName);
+  }
+  return Submit(aOptions,
+                EditNames(text, isRegion ? "drained_regions" : "drained_zones", names),
+                present.Get().at("version").to_number<std::int64_t>());
+}
+
+int GiveKey(const session_options& aOptions, const std::string& aWorkspace)
+{
+  const std::string key = "cpk_" + DrawHex(kIdBytes) + "_" + DrawHex(kSecretBytes);
+  const boost::json::object body{ { "key", key }, { "workspace", aWorkspace } };
+  const result<http_answer> answer =
+    Call(aOptions, "POST", "/v1/keys", boost::json::serialize(body));
+  if (!answer || answer.Get().mStatus != 200) {
+    return Print(answer, aOptions);
+  }
+  std::cout << (aOptions.mPrintsJson ? "{\"key\":\"" + key + "\"}" : key) << "\n";
+  return ExitSuccess;
+}
+
+int RunCommand(const session_options& aOptions, const std::vector<std::string>& aWords)
+{
+  const auto is = [&](std::initializer_list<const char*> aCommand, std::size_t aArguments) {
+    return aWords.size() == aCommand.size() + aArguments &&
+           std::equal(aCommand.begin(), aCommand.end(), aWords.begin());
+  };
+  if (is({ "check" }, 1)) {
+    return CheckFile(aWords[1]);
+  }
+  if (is({ "submit" }, 1)) {
+    return SubmitFile(aOptions, aWords[1]);
+  }
+  if (is({ "show" }, 0)) {
+    return Print(Call(aOptions, "GET", "/v1/config", ""), aOptions);
+  }
+  if (is({ "compare" }, 1)) {
+    return Compare(aOptions, aWords[1]);
+  }
+  if (is({ "key", "give" }, 1)) {
+    return GiveKey(aOptions, aWords[2]);
+  }
+  if (is({ "key", "withdraw" }, 1)) {
+    return Print(Call(aOptions, "DELETE", "/v1/keys/" + aWords[2], ""), aOptions);
+  }
+  if (is({ "key", "list" }, 0)) {
+    return Print(Call(aOptions, "GET", "/v1/keys", ""), aOptions);
+  }
+  if (is({ "drain" }, 1) || is({ "undrain" }, 1)) {
+    return Drain(aOptions, aWords[1], aWords[0] == "drain");
+  }
+  if (is({ "fleet" }, 0)) {
+    return Print(Call(aOptions, "GET", "/v1/fleet", ""), aOptions);
+  }
+  if (is({ "quarantine", "list" }, 0)) {
+    return Print(Call(aOptions, "GET", "/v1/quarantine", ""), aOptions);
+  }
+  if (is({ "quarantine", "clear" }, 1)) {
+    return Print(Call(aOptions, "DELETE", "/v1/quarantine/" + aWords[2], ""), aOptions);
+  }
+  std::cerr << "citronpulley_ctl: unknown command; see --help\n";
+  return ExitUsage;
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  if (sodium_init() < 0) {
+    return ExitFailure;
+  }
+  cxxopts::Options options("citronpulley_ctl", "Command line for operators of citronpulley.");
+  options.positional_help("COMMAND [ARGUMENT...]");
+  options.add_options()("control",
+                        "control VMs, IP:port, separated by commas",
+                        cxxopts::value<std::vector<std::string>>()->default_value(""))(
+    "operator-key-file",
+    "file with the operator key",
+    cxxopts::value<std::string>()->default_value(""))("json", "print JSON")(
+    "expected",
+    "version that a submitted text replaces",
+    cxxopts::value<std::int64_t>()->default_value("-1"))(
+    "submission",
+    "name of a submission that is sent again",
+    cxxopts::value<std::string>()->default_value(""))("h,help", "print this help")(
+    "words", "", cxxopts::value<std::vector<std::string>>()->default_value(""));
+  options.parse_positional({ "words" });
+  try {
+    const cxxopts::ParseResult parsed = options.parse(aCount, aArguments);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help({ "" }) << kUsage;
+      return ExitSuccess;
+    }
+    session_options session;
+    session.mControlVms = parsed["control"].as<std::vector<std::string>>();
+    std::erase(session.mControlVms, "");
+    session.mPrintsJson = parsed.count("json") > 0;
+    session.mExpectedVersion = parsed["expected"].as<std::int64_t>();
+    session.mSubmission = parsed["submission"].as<std::string>();
+    if (const auto path = parsed["operator-key-file"].as<std::string>(); !path.empty()) {
+      const result<std::string> key = ReadSecretFile(path, 1);
+      if (!key) {
+        return PrintError(key.GetError());
+      }
+      session.mOperatorKey = key.Get();
+    }
+    return RunCommand(session, parsed["words"].as<std::vector<std::string>>());
+  } catch (const cxxopts::exceptions::exception& failure) {
+    std::cerr << "citronpulley_ctl: " << failure.what() << "; see --help\n";
+    return ExitUsage;
+  }
+}
--- /dev/null
+++ b/tools/fake_backend.cpp
@@ -0,0 +1,206 @@
+/**
+ * @file
+ * Stand-in for a backend server. It announces itself, serves every path with a JSON answer that
+ * names the request it belongs to, and writes a line for each request that it runs, for checks from
+ * outside.
+ */
+
+#include "citronpulley/runtime/http_client.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <cxxopts.hpp>
+#include <sodium.h>
+
+#include <atomic>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+using namespace citronpulley;
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+/** Settings and counters of the server. */
+struct backend_state
+{
+  std::string mService;
+  std::string mAddress;
+  std::string mZone;
+  std::string mInstance;
+  std::int64_t mSlots = 4;
+  std::chrono::microseconds mServiceTime{ 0 };
+  std::vector<std::string> mVms;
+  std::ofstream mJournal;
+  std::atomic<std::int64_t> mRunning{ 0 };
+  std::atomic<bool> mIsLeaving{ false };
+};
+
+std::string GetField(const http::request<http::string_body>& aRequest, const char* aName)
+{
+  return std::string(aRequest[aName]);
+}
+
+asio::awaitable<void> ServeConnection(tcp::socket aSocket, backend_state& aState)
+{
+  beast::tcp_stream stream(std::move(aSocket));
+  beast::flat_buffer buffer;
+  try {
+    for (;;) {
+      http::request<http::string_body> request;
+      co_await http::async_read(stream, buffer, request, asio::use_awaitable);
+      ++aState.mRunning;
+      if (request.target().starts_with("/crash")) {
+        std::quick_exit(3);
+      }
+      if (aState.mServiceTime.count() > 0) {
+        asio::steady_timer timer(co_await asio::this_coro::executor, aState.mServiceTime);
+        co_await timer.async_wait(asio::use_awaitable);
+      }
+      const boost::json::object body{ { "service", aState.mService },
+                                      { "server", aState.mAddress },
+                                      { "zone", aState.mZone },
+                                      { "method", std::string(request.method_string()) },
+                                      { "target", std::string(request.target()) },
+                                      { "body", request.body() },
+                                      { "workspace", GetField(request, "Citronpulley-Workspace") },
+                                      { "key_seen", request.count("Authorization") > 0 } };
+      if (aState.mJournal.is_open()) {
+        aState.mJournal << boost::json::serialize(body) << std::endl;
+      }
+      http::response<http::string_body> response{ http::status::ok, 11 };
+      response.set(http::field::content_type, "application/json");
+      response.keep_alive(request.keep_alive());
+      response.body() = boost::json::serialize(body);
+      response.prepare_payload();
+      --aState.mRunning;
+      co_await http::async_write(stream, response, asio::use_awaitable);
+      if (!response.keep_alive()) {
+        co_return;
+      }
+    }
+  } catch (const boost::system::system_error&) {
+    // The client closed the connection.
+  }
+}
+
+asio::awaitable<void> AcceptConnections(tcp::acceptor& aAcceptor, backend_state& aState)
+{
+  for (;;) {
+    tcp::socket socket = co_await aAcceptor.async_accept(asio::use_awaitable);
+    socket.set_option(tcp::no_delay(true));
+    asio::co_spawn(
+      aAcceptor.get_executor(), ServeConnection(std::move(socket), aState), asio::detached);
+  }
+}
+
+/** Announces the server to the first VM that answers. */
+void Announce(const backend_state& aState)
+{
+  const std::int64_t running = aState.mRunning.load();
+  const boost::json::object body{
+    { "service", aState.mService },
+    { "address", aState.mAddress },
+    { "zone", aState.mZone },
+    { "slots", aState.mSlots },
+    { "running", running },
+    { "load", std::min(1.0, static_cast<double>(running) / static_cast<double>(aState.mSlots)) },
+    { "leaving", aState.mIsLeaving.load() },
+    { "instance", aState.mInstance }
+  };
+  for (const std::string& vm : aState.mVms) {
+    const result<http_answer> answer = CallHttp({ vm,
+                                                  "POST",
+                                                  "/v1/announce",
+                                                  {},
+                                                  boost::json::serialize(body),
+                                                  std::chrono::milliseconds(500) });
+    if (answer && answer.Get().mStatus == 200) {
+      return;
+    }
+  }
+}
+
+int Serve(backend_state& aState)
+{
+  asio::io_context context;
+  const std::size_t colon = aState.mAddress.rfind(':');
+  const tcp::endpoint endpoint(
+    asio::ip::make_address(aState.mAddress.substr(0, colon)),
+    static_cast<std::uint16_t>(std::stoi(aState.mAddress.substr(colon + 1))));
+  tcp::acceptor acceptor(context, endpoint, true);
+  asio::co_spawn(context, AcceptConnections(acceptor, aState), asio::detached);
+  asio::signal_set signals(context, SIGINT, SIGTERM);
+  std::atomic<bool> isStopping{ false };
+  std::thread announcer([&] {
+    while (!isStopping) {
+      Announce(aState);
+      for (int pause = 0; pause < 10 && !isStopping; ++pause) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      }
+    }
+  });
+  signals.async_wait([&](const boost::system::error_code&, int) {
+    aState.mIsLeaving = true;
+    context.stop();
+  });
+  context.run();
+  isStopping = true;
+  announcer.join();
+  Announce(aState);
+  return 0;
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  if (sodium_init() < 0) {
+    return 1;
+  }
+  cxxopts::Options options("fake_backend", "Stand-in for a backend server.");
+  options.add_options()("service", "service", cxxopts::value<std::string>())(
+    "address", "IP:port", cxxopts::value<std::string>())(
+    "zone", "zone", cxxopts::value<std::string>())(
+    "slots", "slots", cxxopts::value<std::int64_t>()->default_value("4"))(
+    "service-time-us",
+    "time for a request in microseconds",
+    cxxopts::value<std::int64_t>()->default_value("0"))(
+    "vms",
+    "entry VMs for announcements, IP:port, separated by commas",
+    cxxopts::value<std::vector<std::string>>())("journal",
+                                                "file that gets a line for each request",
+                                                cxxopts::value<std::string>()->default_value(""));
+  try {
+    const cxxopts::ParseResult parsed = options.parse(aCount, aArguments);
+    backend_state state;
+    state.mService = parsed["service"].as<std::string>();
+    state.mAddress = parsed["address"].as<std::string>();
+    state.mZone = parsed["zone"].as<std::string>();
+    state.mSlots = parsed["slots"].as<std::int64_t>();
+    state.mServiceTime = std::chrono::microseconds(parsed["service-time-us"].as<std::int64_t>());
+    state.mVms = parsed["vms"].as<std::vector<std::string>>();
+    state.mInstance = std::to_string(randombytes_random());
+    if (const auto journal = parsed["journal"].as<std::string>(); !journal.empty()) {
+      state.mJournal.open(journal, std::ios::app);
+    }
+    return Serve(state);
+  } catch (const std::exception& failure) {
+    std::cerr << "fake_backend: " << failure.what() << "\n";
+    return 2;
+  }
+}
