Find connections between VMs that have gone silent and open them anew

Cause: a connection that something between the ends has forgotten stays open for both, and nng reports nothing; every message on it would be lost for good. Ruled out: TCP keep-alive, whose shortest useful setting is still seconds and which the middle may answer. Change: each connection in use is probed every 300 ms; 1 s without a reply closes and reopens it and tells the node. Unused connections close after 60 s. A hello acknowledgement is now followed by an empty message: without it a peer never learned the run of a restarted process that had nothing to send. Conclusion: covered in virtual time; a run with a connection cut between real processes is still open.

--- a/src/citronpulley/runtime/peer_bus.cpp
+++ b/src/citronpulley/runtime/peer_bus.cpp
@@ -1,15 +1,21 @@
 #include "citronpulley/runtime/peer_bus.h"
 
+#include "citronpulley/base/overloaded.h"
+#include "citronpulley/membership/link_monitor.h"
 #include "citronpulley/runtime/duty_inbox.h"
 #include "citronpulley/runtime/duty_thread.h"
 #include "citronpulley/runtime/system_clock.h"
 #include "citronpulley/wire/peer_session.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 
 #include <charconv>
+#include <deque>
 #include <map>
 #include <utility>
 
@@ -19,7 +25,9 @@
 
 constexpr std::size_t kInboxCapacity = 65'536;
 constexpr int kSendBufferMessages = 1'024;
+constexpr std::size_t kMaxClosedLinks = 256;
 constexpr std::size_t kMaxFrameBytes = 16UL * 1024 * 1024;
+constexpr std::chrono::milliseconds kWatchInterval{ 100 };
 constexpr nng_duration kMinReconnectMilliseconds = 50;
 constexpr nng_duration kMaxReconnectMilliseconds = 500;
 
@@ -32,6 +40,12 @@
 
 struct peer_bus::content
 {
+  struct peer_address
+  {
+    std::string mAddress;
+    std::uint16_t mPort = 0;
+  };
+
   struct peer_link
   {
     std::string mUrl;
@@ -94,7 +108,73 @@
       mHandlers.mOnRefused(message.GetError());
       return;
     }
-    mHandlers.mOnMessage({ frame.Get().mSender, std::move(message.Get()) });
+    const vm_name& sender = frame.Get().mSender;
+    if (const auto* probe = std::get_if<link_probe>(&message.Get())) {
+      Send(sender, link_probe_reply{ probe->mNumber });
+    } else if (const auto* reply = std::get_if<link_probe_reply>(&message.Get())) {
+      mMonitor.NoteReply(sender, reply->mNumber, ReadPresentTime().mMonotonic);
+    } else {
+      mHandlers.mOnMessage({ sender, std::move(message.Get()) });
+    }
+  }
+
+  void Send(const vm_name& aPeer, const peer_message& aMessage)
+  {
+    const std::optional<outgoing_frame> frame =
+      mSession.Seal(aPeer, EncodeMessage(aMessage), ReadPresentTime().mMonotonic);
+    if (frame) {
+      SendFrame(*frame);
+    }
+  }
+
+  /** Probes the connections in use, opens silent ones anew and closes unused ones. */
+  void Watch()
+  {
+    mTimer.expires_after(kWatchInterval);
+    mTimer.async_wait([this](boost::system::error_code aFailure) {
+      if (aFailure) {
+        return;
+      }
+      const link_orders orders = mMonitor.Tick(ReadPresentTime().mMonotonic);
+      for (const vm_name& peer : orders.mReopened) {
+        Reopen(peer);
+      }
+      for (const vm_name& peer : orders.mLost) {
+        mHandlers.mOnLost({ peer });
+      }
+      for (const vm_name& peer : orders.mUnused) {
+        Close(peer);
+      }
+      for (const link_orders::probe& probe : orders.mProbes) {
+        Send(probe.mPeer, link_probe{ probe.mNumber });
+      }
+      Watch();
+    });
+  }
+
+  void Reopen(const vm_name& aPeer)
+  {
+    const auto known = mAddresses.find(aPeer);
+    if (known != mAddresses.end()) {
+      Close(aPeer);
+      Connect(aPeer, known->second.mAddress, known->second.mPort);
+    }
+  }
+
+  void Close(const vm_name& aPeer)
+  {
+    const auto found = mLinks.find(aPeer);
+    if (found == mLinks.end()) {
+      return;
+    }
+    nng_pipe_notify(found->second->mSocket, NNG_PIPE_EV_REM_POST, nullptr, nullptr);
+    nng_close(found->second->mSocket);
+    // The link outlives its socket, because a callback may still run on a thread of nng.
+    mClosedLinks.push_back(std::move(found->second));
+    if (mClosedLinks.size() > kMaxClosedLinks) {
+      mClosedLinks.pop_front();
+    }
+    mLinks.erase(found);
   }
 
   /** Connects to the sender of a hello that is not known yet. */
@@ -148,6 +228,8 @@
   }
 
   duty_thread& mThread;
+  boost::asio::steady_timer mTimer{ mThread.GetContext() };
+  link_monitor mMonitor;
   peer_session mSession;
   handlers mHandlers;
   std::string mLocalAddress;
@@ -156,7 +238,9 @@
   nng_socket mPull{};
   nng_aio* mReceiver = nullptr;
   bool mIsListening = false;
+  std::map<vm_name, peer_address> mAddresses;
   std::map<vm_name, std::unique_ptr<peer_link>> mLinks;
+  std::deque<std::unique_ptr<peer_link>> mClosedLinks;
 };
 
 void peer_bus::content::Connect(const vm_name& aPeer,
@@ -169,8 +253,11 @@
     return;
   }
   if (link != nullptr) {
-    nng_close(link->mSocket);
+    Close(aPeer);
+    Connect(aPeer, aAddress, aPort);
+    return;
   }
+  mAddresses.insert_or_assign(aPeer, peer_address{ aAddress, aPort });
   link = std::make_unique<peer_link>();
   link->mUrl = url;
   link->mBus = this;
@@ -216,6 +303,7 @@
     return MakeNngError(code, url);
   }
   nng_recv_aio(bus.mPull, bus.mReceiver);
+  bus.mThread.Post([&bus] { bus.Watch(); });
   return std::monostate{};
 }
 
@@ -226,11 +314,12 @@
 
 void peer_bus::Send(const vm_name& aPeer, const peer_message& aMessage)
 {
-  const std::optional<outgoing_frame> frame =
-    mContent->mSession.Seal(aPeer, EncodeMessage(aMessage), ReadPresentTime().mMonotonic);
-  if (frame) {
-    mContent->SendFrame(*frame);
+  mContent->mMonitor.NoteSent(aPeer, ReadPresentTime().mMonotonic);
+  if (!mContent->mLinks.contains(aPeer)) {
+    // The connection was closed because it was not used.
+    mContent->Reopen(aPeer);
   }
+  mContent->Send(aPeer, aMessage);
 }
 
 } // namespace citronpulley
--- a/src/citronpulley/wire/membership_messages.h
+++ b/src/citronpulley/wire/membership_messages.h
@@ -8,7 +8,7 @@
 
 /**
  * @file
- * Messages of the failure detector inside a zone.
+ * Messages of the failure detector inside a zone and of the monitor of connections.
  */
 
 namespace citronpulley {
@@ -86,6 +86,34 @@
   }
 };
 
+/** Tests the connection to a peer; the peer's bus answers it. */
+struct link_probe
+{
+  std::uint64_t mNumber = 0;
+
+  friend auto operator<=>(const link_probe&, const link_probe&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mNumber);
+  }
+};
+
+/** Answer to a link probe. */
+struct link_probe_reply
+{
+  std::uint64_t mNumber = 0;
+
+  friend auto operator<=>(const link_probe_reply&, const link_probe_reply&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mNumber);
+  }
+};
+
 } // namespace citronpulley
 
 #endif
--- a/src/citronpulley/wire/peer_session.cpp
+++ b/src/citronpulley/wire/peer_session.cpp
@@ -162,7 +162,11 @@
     return RefuseFrame(error_code::Replayed, sender, "the sequence number does not rise");
   }
   peer.mReceived = body.mNumber;
-  return received_frame{ body.mSender, std::move(body.mPayload), {}, std::move(replies), false };
+  received_frame frame{ body.mSender, std::nullopt, {}, std::move(replies), false };
+  if (!body.mPayload.empty()) {
+    frame.mPayload = std::move(body.mPayload);
+  }
+  return frame;
 }
 
 void peer_session::Reset(const vm_name& aPeer)
@@ -213,6 +217,10 @@
   received_frame frame{ aSender, std::nullopt, {}, {}, false };
   frame.mIsNewRun = peer.mIncarnation != aIncarnation;
   std::vector<std::string> kept = std::move(peer.mKept);
+  if (kept.empty()) {
+    // An empty message tells the peer this run, without which it could not send anything here.
+    kept.emplace_back();
+  }
   if (frame.mIsNewRun) {
     peer = peer_state{};
     peer.mIncarnation = aIncarnation;
