Detect dead VMs inside a zone by SWIM with probes of suspects

Cause: the zone directory judged VMs by the age of all-to-all updates, which grows with the zone's size squared. Change: failure_detector; the member that raises a suspicion probes the suspect every 150 ms for 3 s and alone turns it into a death; a closed connection shortens that to 1 s. Updates about homed servers go out on change only.

--- a/src/citronpulley/membership/zone_directory.cpp
+++ b/src/citronpulley/membership/zone_directory.cpp
@@ -40,6 +40,14 @@
   }
 }
 
+void zone_directory::SetAlive(const vm_name& aVm, bool aIsAlive)
+{
+  const auto found = mPeers.find(aVm);
+  if (found != mPeers.end()) {
+    found->second.mIsAlive = aIsAlive;
+  }
+}
+
 std::vector<vm_name> zone_directory::ListZonePeers() const
 {
   std::vector<vm_name> peers;
@@ -68,7 +76,7 @@
     return true;
   }
   const auto found = mPeers.find(aVm);
-  return found != mPeers.end() && !found->second.mIsLost &&
+  return found != mPeers.end() && !found->second.mIsLost && found->second.mIsAlive &&
          found->second.mHeardAt + kSilenceLimit > aNow;
 }
 
--- a/src/citronpulley/membership/zone_directory.h
+++ b/src/citronpulley/membership/zone_directory.h
@@ -30,8 +30,8 @@
 class zone_directory
 {
 public:
-  /** Age of the last heartbeat from which a VM counts as dead. */
-  static constexpr microseconds kSilenceLimit{ 1'500'000 };
+  /** Age of the last update of a VM from which its servers are not used. */
+  static constexpr microseconds kSilenceLimit{ 3'000'000 };
 
   /** @param aSelf this VM */
   explicit zone_directory(vm_record aSelf);
@@ -39,12 +39,15 @@
   /** Takes the list of live VMs of a poll reply; VMs of other zones are kept for forwarding. */
   void SetVms(const std::vector<vm_record>& aVms);
 
-  /** Takes a heartbeat; one of an earlier run or with an old sequence changes nothing. */
+  /** Takes an update; one of an earlier run or with an old sequence changes nothing. */
   void Update(const vm_name& aSender, const backend_update& aUpdate, instant aNow);
 
-  /** Notes that the connection of a VM closed: it counts as dead until its next heartbeat. */
+  /** Notes that the connection of a VM closed: it gets no work until its next update. */
   void MarkLost(const vm_name& aVm);
 
+  /** Takes over what the failure detector says of a VM of the zone. */
+  void SetAlive(const vm_name& aVm, bool aIsAlive);
+
   /** @return other entry VMs of this zone that the control group named, dead ones included */
   std::vector<vm_name> ListZonePeers() const;
 
@@ -54,7 +57,7 @@
   /** @return all VMs that the control group named */
   const std::map<vm_name, vm_record>& GetVms() const noexcept { return mVms; }
 
-  /** @return true for this VM and for VMs of the zone with a recent heartbeat */
+  /** @return true for this VM and for VMs of the zone that live and sent a recent update */
   bool IsAlive(const vm_name& aVm, instant aNow) const noexcept;
 
   /** @return servers of a service on the other live VMs of the zone that take work */
@@ -80,6 +83,7 @@
     backend_update mUpdate;
     instant mHeardAt;
     bool mIsLost = false;
+    bool mIsAlive = true;
   };
 
   vm_record mSelf;
--- a/src/citronpulley/node/entry_node.cpp
+++ b/src/citronpulley/node/entry_node.cpp
@@ -13,7 +13,10 @@
 
 namespace {
 
-constexpr microseconds kHeartbeatInterval{ 250'000 };
+/** Least time between two updates about the servers homed here. */
+constexpr microseconds kUpdateInterval{ 250'000 };
+/** Time after which an update is repeated although nothing changed, in case one was lost. */
+constexpr microseconds kUpdateRepeatInterval{ 1'000'000 };
 constexpr microseconds kTokenRequestInterval{ 50'000 };
 constexpr std::size_t kMaxNamedVmsPerZone = 3;
 
@@ -24,6 +27,17 @@
            boost::json::serialize(aBody) + "\n" };
 }
 
+void SendAll(const std::vector<detector_message>& aMessages, node_actions& aActions)
+{
+  for (const detector_message& message : aMessages) {
+    std::visit(
+      [&](const auto& aContent) {
+        aActions.emplace_back(send_peer_message{ message.mReceiver, aContent });
+      },
+      message.mMessage);
+  }
+}
+
 } // namespace
 
 entry_node::entry_node(vm_record aSelf,
@@ -34,6 +48,7 @@
   , mSecret(std::move(aSecret))
   , mLink(std::move(aControlVms))
   , mDirectory(mSelf)
+  , mDetector(mSelf.mVm, mSelf.mIncarnation, aSeed)
   , mFlow({ mSelf, mSecret, mLink, mWallet, mDirectory, mDispatcher, mZones }, aSeed)
 {
 }
@@ -53,6 +68,7 @@
       [&](const peer_message_received& aMessage) { HandlePeer(aMessage, now, aActions); },
       [&](const peer_lost& aLost) {
         mDirectory.MarkLost(aLost.mPeer);
+        mDetector.MarkLost(aLost.mPeer, now);
         mFlow.LosePeer(aLost.mPeer, now, aActions);
       },
       [&](const timer_ticked&) { HandleTick(now, aActions); },
@@ -127,6 +143,21 @@
         TakeAnnouncement(aForward.mAnnouncement, aNow, aActions);
       },
       [&](const backend_update& aUpdate) { mDirectory.Update(sender, aUpdate, aNow); },
+      [&](const swim_ping& aPing) {
+        std::vector<detector_message> messages;
+        mDetector.Receive(sender, aPing, messages);
+        SendAll(messages, aActions);
+      },
+      [&](const swim_ping_request& aRequest) {
+        std::vector<detector_message> messages;
+        mDetector.Receive(sender, aRequest, aNow, messages);
+        SendAll(messages, aActions);
+      },
+      [&](const swim_ack& aAck) {
+        std::vector<detector_message> messages;
+        mDetector.Receive(sender, aAck, messages);
+        SendAll(messages, aActions);
+      },
       [&](const auto&) {
         aActions.emplace_back(write_log{ log_level::Warning,
                                          "an entry VM does not take the message " +
@@ -153,6 +184,7 @@
     }
   }
   mDirectory.SetVms(aReply.mLiveVms);
+  mDetector.SetMembers(mDirectory.ListZonePeers());
   if (GetView().GetConfigurationVersion() != versionBefore) {
     aActions.emplace_back(write_log{ log_level::Information,
                                      "configuration version " +
@@ -169,7 +201,8 @@
   mFlow.HandleDispatcher(std::move(wanted), aNow, aActions);
   mFlow.Tick(aNow, aActions);
   mLink.Tick(mSelf, SummariseHomedServers(aNow), aNow, aActions);
-  SendHeartbeats(aNow, aActions);
+  DetectFailures(aNow, aActions);
+  SendUpdates(aNow, aActions);
   RequestTokens(aNow, aActions);
   const bool mayStop = mSelf.mIsStopping && aNow >= mStopsFrom && mFlow.GetPendingCount() == 0 &&
                        mDispatcher.GetJobCount() == 0;
@@ -303,15 +336,29 @@
   return list;
 }
 
-void entry_node::SendHeartbeats(instant aNow, node_actions& aActions)
+void entry_node::DetectFailures(instant aNow, node_actions& aActions)
 {
-  if (aNow < mNextHeartbeatAt) {
+  std::vector<detector_message> messages;
+  mDetector.Tick(aNow, messages);
+  SendAll(messages, aActions);
+  for (const vm_name& peer : mDirectory.ListZonePeers()) {
+    mDirectory.SetAlive(peer, mDetector.IsAlive(peer));
+  }
+}
+
+void entry_node::SendUpdates(instant aNow, node_actions& aActions)
+{
+  if (aNow < mNextUpdateAt) {
+    return;
+  }
+  std::vector<homed_server> servers = mDispatcher.ListServers(aNow);
+  if (servers == mLastUpdate && aNow < mRepeatUpdateAt) {
     return;
   }
-  mNextHeartbeatAt = aNow + kHeartbeatInterval;
-  const backend_update update{ mSelf.mIncarnation,
-                               ++mHeartbeatSequence,
-                               mDispatcher.ListServers(aNow) };
+  mNextUpdateAt = aNow + kUpdateInterval;
+  mRepeatUpdateAt = aNow + kUpdateRepeatInterval;
+  mLastUpdate = servers;
+  const backend_update update{ mSelf.mIncarnation, ++mUpdateSequence, std::move(servers) };
   for (const vm_name& peer : mDirectory.ListZonePeers()) {
     aActions.emplace_back(send_peer_message{ peer, update });
   }
--- a/src/citronpulley/node/entry_node.h
+++ b/src/citronpulley/node/entry_node.h
@@ -3,6 +3,7 @@
 
 #include "citronpulley/dispatch/backend_dispatcher.h"
 #include "citronpulley/limits/rate_wallet.h"
+#include "citronpulley/membership/failure_detector.h"
 #include "citronpulley/membership/zone_directory.h"
 #include "citronpulley/node/control_link.h"
 #include "citronpulley/node/node_actions.h"
@@ -61,7 +62,8 @@
                         node_actions& aActions);
   http_answer ListEntryVms(const http_request_received& aRequest, present_time aNow) const;
   std::vector<zone_summary> SummariseHomedServers(instant aNow) const;
-  void SendHeartbeats(instant aNow, node_actions& aActions);
+  void DetectFailures(instant aNow, node_actions& aActions);
+  void SendUpdates(instant aNow, node_actions& aActions);
   void RequestTokens(instant aNow, node_actions& aActions);
 
   vm_record mSelf;
@@ -69,11 +71,14 @@
   control_link mLink;
   rate_wallet mWallet;
   zone_directory mDirectory;
+  failure_detector mDetector;
   backend_dispatcher mDispatcher;
   std::vector<zone_summary> mZones;
   request_flow mFlow;
-  std::uint64_t mHeartbeatSequence = 0;
-  instant mNextHeartbeatAt;
+  std::uint64_t mUpdateSequence = 0;
+  instant mNextUpdateAt;
+  std::vector<homed_server> mLastUpdate;
+  instant mRepeatUpdateAt;
   instant mNextTokenRequestAt;
   /** When the process stops, time at which the last cached list with this VM has expired. */
   instant mStopsFrom;
--- /dev/null
+++ b/tests/membership/failure_detector_test.cpp
@@ -0,0 +1,201 @@
+#include "citronpulley/membership/failure_detector.h"
+
+#include "citronpulley/base/overloaded.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronpulley;
+
+namespace {
+
+constexpr microseconds kStep{ 20'000 };
+
+/** Group of detectors over a queue that loses messages, in virtual time. */
+class detector_group
+{
+public:
+  detector_group(std::size_t aSize, double aLoss, std::uint64_t aSeed)
+    : mLoss(aLoss)
+    , mRandom(aSeed)
+  {
+    for (std::size_t index = 0; index < aSize; ++index) {
+      mNames.emplace_back("vm-" + std::to_string(index));
+    }
+    for (const vm_name& name : mNames) {
+      mDetectors.emplace(name, std::make_unique<failure_detector>(name, 1, mRandom()));
+      mDetectors.at(name)->SetMembers(mNames);
+    }
+  }
+
+  void Run(microseconds aTime)
+  {
+    for (const instant end = mNow + aTime; mNow < end; mNow += kStep) {
+      std::deque<std::pair<vm_name, detector_message>> arriving;
+      arriving.swap(mQueue);
+      for (const auto& [sender, message] : arriving) {
+        Deliver(sender, message);
+      }
+      for (auto& [name, detector] : mDetectors) {
+        if (!mStopped.contains(name)) {
+          std::vector<detector_message> messages;
+          detector->Tick(mNow, messages);
+          Enqueue(name, messages);
+        }
+      }
+      if (mNames.size() <= 24 && (mNow.time_since_epoch() / kStep) % 10 == 0) {
+        CountDead();
+      }
+    }
+  }
+
+  void Stop(const vm_name& aName) { mStopped.insert(aName); }
+  void Start(const vm_name& aName) { mStopped.erase(aName); }
+  failure_detector& Get(const vm_name& aName) { return *mDetectors.at(aName); }
+  const std::vector<vm_name>& GetNames() const { return mNames; }
+  instant GetNow() const { return mNow; }
+
+  /** @return number of pairs in which a running member takes another one for dead */
+  std::size_t CountDeadPairs(const vm_name& aMember) const
+  {
+    std::size_t count = 0;
+    for (const auto& [name, detector] : mDetectors) {
+      count += !mStopped.contains(name) && !detector->IsAlive(aMember) ? 1 : 0;
+    }
+    return count;
+  }
+
+  std::size_t mFalseDeaths = 0;
+  std::size_t mMessages = 0;
+
+private:
+  void Enqueue(const vm_name& aSender, const std::vector<detector_message>& aMessages)
+  {
+    for (const detector_message& message : aMessages) {
+      ++mMessages;
+      if (std::uniform_real_distribution<>(0, 1)(mRandom) >= mLoss) {
+        mQueue.emplace_back(aSender, message);
+      }
+    }
+  }
+
+  void Deliver(const vm_name& aSender, const detector_message& aMessage)
+  {
+    if (mStopped.contains(aMessage.mReceiver)) {
+      return;
+    }
+    std::vector<detector_message> replies;
+    std::visit(overloaded{ [&](const swim_ping_request& aContent) {
+                            Get(aMessage.mReceiver).Receive(aSender, aContent, mNow, replies);
+                          },
+                           [&](const auto& aContent) {
+                             Get(aMessage.mReceiver).Receive(aSender, aContent, replies);
+                           } },
+               aMessage.mMessage);
+    Enqueue(aMessage.mReceiver, replies);
+  }
+
+  void CountDead()
+  {
+    for (const vm_name& name : mNames) {
+      mFalseDeaths += !mStopped.contains(name) && CountDeadPairs(name) > 0 ? 1 : 0;
+    }
+  }
+
+  double mLoss;
+  std::mt19937_64 mRandom;
+  std::vector<vm_name> mNames;
+  std::map<vm_name, std::unique_ptr<failure_detector>> mDetectors;
+  std::set<vm_name> mStopped;
+  std::deque<std::pair<vm_name, detector_message>> mQueue;
+  instant mNow;
+};
+
+} // namespace
+
+TEST_GROUP(failure_detector){};
+
+/** Guards against a silent death that goes unnoticed for more than the stated 5 s in a zone of
+ * today. */
+TEST(failure_detector, finds_a_silent_death_within_five_seconds)
+{
+  for (const std::size_t size : { 2U, 4U, 8U }) {
+    detector_group group(size, 0, 7);
+    group.Run(std::chrono::seconds(3));
+    const vm_name victim = group.GetNames()[1];
+    group.Stop(victim);
+    group.Run(std::chrono::seconds(5));
+    LONGS_EQUAL(size - 1, group.CountDeadPairs(victim));
+    LONGS_EQUAL(0, group.mFalseDeaths);
+  }
+}
+
+/** Guards against members that are declared dead although a fifth of all messages is lost. */
+TEST(failure_detector, does_not_flap_under_twenty_percent_loss)
+{
+  for (const std::uint64_t seed : { 1U, 2U, 3U }) {
+    detector_group group(24, 0.2, seed);
+    group.Run(std::chrono::minutes(1));
+    LONGS_EQUAL(0, group.mFalseDeaths);
+  }
+}
+
+/** Guards against a closed connection that is taken for slow: the death is known at once, and
+ * spreads. */
+TEST(failure_detector, takes_a_closed_connection_for_a_death_within_two_seconds)
+{
+  detector_group group(24, 0, 5);
+  group.Run(std::chrono::seconds(3));
+  const vm_name victim = group.GetNames()[3];
+  group.Stop(victim);
+  for (const vm_name& name : group.GetNames()) {
+    if (name != victim) {
+      group.Get(name).MarkLost(victim, group.GetNow());
+    }
+  }
+  group.Run(std::chrono::seconds(2));
+  LONGS_EQUAL(23, group.CountDeadPairs(victim));
+}
+
+/** Guards against a death that is declared because one connection broke while the member lives. */
+TEST(failure_detector, keeps_a_member_alive_whose_connection_only_broke)
+{
+  detector_group group(4, 0, 17);
+  group.Run(std::chrono::seconds(3));
+  group.Get(group.GetNames()[0]).MarkLost(group.GetNames()[1], group.GetNow());
+  group.Run(std::chrono::seconds(3));
+  LONGS_EQUAL(0, group.CountDeadPairs(group.GetNames()[1]));
+  LONGS_EQUAL(0, group.mFalseDeaths);
+}
+
+/** Guards against a member that stays dead for others after it was only cut off. */
+TEST(failure_detector, takes_a_member_back_that_answers_again)
+{
+  detector_group group(8, 0, 11);
+  const vm_name victim = group.GetNames()[2];
+  group.Run(std::chrono::seconds(2));
+  group.Stop(victim);
+  group.Run(std::chrono::seconds(10));
+  LONGS_EQUAL(7, group.CountDeadPairs(victim));
+  group.Start(victim);
+  group.Run(std::chrono::seconds(8));
+  LONGS_EQUAL(0, group.CountDeadPairs(victim));
+}
+
+/** Guards against a cost per member that grows with the group. */
+TEST(failure_detector, sends_a_number_of_messages_per_member_that_does_not_grow)
+{
+  for (const std::size_t size : { 24U, 100U, 400U }) {
+    detector_group group(size, 0, 13);
+    group.Run(std::chrono::seconds(6));
+    const double perSecond = static_cast<double>(group.mMessages) / static_cast<double>(size) / 6;
+    // One probe each 300 ms and its answer.
+    CHECK_TRUE(perSecond < 8);
+  }
+}
