--- a/src/citronpulley/runtime/http_server.cpp
+++ b/src/citronpulley/runtime/http_server.cpp
@@ -5,6 +5,7 @@
 #include "citronpulley/runtime/http_fields.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -76,6 +77,7 @@
 public:
   session(tcp::socket aSocket, std::shared_ptr<content> aServer)
     : mStream(std::move(aSocket))
+    , mReadTimer(mStream.get_executor())
     , mServer(std::move(aServer))
   {
     ++mServer->mConnections;
@@ -131,6 +133,7 @@
         if (!self->mResponse.keep_alive()) {
           beast::error_code ignored;
           self->mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+          self->DiscardRest();
           return;
         }
         self->Read();
@@ -139,19 +142,45 @@
 
 private:
   static constexpr std::size_t kReadSize = 8192;
+  static constexpr std::size_t kMaxDiscardedReads = 256;
+  static constexpr std::chrono::seconds kDiscardTime{ 1 };
 
   void ReadRequest()
   {
     // The time runs from the first byte, so that a sender cannot hold a connection byte by byte.
-    mStream.expires_after(std::chrono::milliseconds(mServer->mLimits.mReadTimeoutMilliseconds));
+    // The stream's own timer would close the socket, and no refusal could be sent.
+    mStream.expires_never();
+    mReadTimer.expires_after(std::chrono::milliseconds(mServer->mLimits.mReadTimeoutMilliseconds));
+    mReadTimer.async_wait([self = shared_from_this()](beast::error_code aFailure) {
+      if (!aFailure) {
+        self->mIsLate = true;
+        self->mStream.cancel();
+      }
+    });
     http::async_read(mStream,
                      mBuffer,
                      *mParser,
                      [self = shared_from_this()](beast::error_code aFailure, std::size_t) {
-                       self->HandleRead(aFailure);
+                       self->mReadTimer.cancel();
+                       self->HandleRead(self->mIsLate ? beast::error_code(beast::error::timeout)
+                                                      : aFailure);
                      });
   }
 
+  /** Reads what the client still sends: closing at once would reset the connection before the reply
+   * is read. */
+  void DiscardRest()
+  {
+    mBuffer.clear();
+    mStream.expires_after(kDiscardTime);
+    mStream.async_read_some(mBuffer.prepare(kReadSize),
+                            [self = shared_from_this()](beast::error_code aFailure, std::size_t) {
+                              if (!aFailure && ++self->mDiscardedReads < kMaxDiscardedReads) {
+                                self->DiscardRest();
+                              }
+                            });
+  }
+
   void HandleRead(const beast::error_code& aFailure)
   {
     if (aFailure) {
@@ -202,12 +231,15 @@
   }
 
   beast::tcp_stream mStream;
+  asio::steady_timer mReadTimer;
   std::shared_ptr<content> mServer;
   beast::flat_buffer mBuffer;
   std::optional<http::request_parser<http::string_body>> mParser;
   http::response<http::string_body> mResponse;
   std::uint64_t mRequest = 0;
+  std::size_t mDiscardedReads = 0;
   bool mKeepsAlive = true;
+  bool mIsLate = false;
 };
 
 http_server::http_server(duty_thread& aThread, const caller_limits& aLimits, handlers aHandlers)
--- a/src/citronpulley/wire/peer_session.h
+++ b/src/citronpulley/wire/peer_session.h
@@ -109,11 +109,11 @@
                                       std::uint64_t aNonce);
   std::string ComputeCode(std::string_view aBody) const;
 
-  const std::string mDeployment;
+  std::string mDeployment;
   std::string mKey;
-  const vm_name mSelf;
-  const incarnation mIncarnation;
-  const std::string mSelfAddress;
+  vm_name mSelf;
+  incarnation mIncarnation;
+  std::string mSelfAddress;
   std::map<vm_name, peer_state> mPeers;
 };
 
--- /dev/null
+++ b/tests/node/caller_frame_test.cpp
@@ -0,0 +1,89 @@
+#include "citronpulley/node/caller_frame.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronpulley;
+
+namespace {
+
+http_request_received MakeRequest(std::vector<http_header> aHeaders,
+                                  const std::string& aTarget = "/svc/stock/item?id=1")
+{
+  return { 1, "GET", aTarget, std::move(aHeaders), "body", "127.0.0.1" };
+}
+
+bool IsRefused(std::vector<http_header> aHeaders)
+{
+  return !ReadCallerFrame(MakeRequest(std::move(aHeaders)));
+}
+
+} // namespace
+
+TEST_GROUP(caller_frame){};
+
+/** Guards against a key that reaches a backend server, and headers by which a caller poses as the
+ * system. */
+TEST(caller_frame, removes_credentials_and_headers_of_the_system)
+{
+  const result<caller_frame> frame =
+    ReadCallerFrame(MakeRequest({ { "AUTHORIZATION", "Bearer cpk_id_secret" },
+                                  { "citronpulley-workspace", "other" },
+                                  { "Citronpulley-Not-Run", "true" },
+                                  { "Proxy-Authorization", "x" },
+                                  { "Connection", "close" },
+                                  { "Accept", "text/plain" } }));
+  CHECK(!!frame);
+  LONGS_EQUAL(1, frame.Get().mRequest.mHeaders.size());
+  STRCMP_EQUAL("Accept", frame.Get().mRequest.mHeaders[0].mName.c_str());
+  STRCMP_EQUAL("secret", frame.Get().mKey->mSecret.c_str());
+  STRCMP_EQUAL("/item?id=1", frame.Get().mRequest.mTarget.c_str());
+  STRCMP_EQUAL("/item", frame.Get().mPath.c_str());
+}
+
+/** Guards against requests that two readers would understand in two ways. */
+TEST(caller_frame, refuses_repeated_and_contradictory_headers)
+{
+  CHECK(
+    IsRefused({ { "Authorization", "Bearer cpk_a_b" }, { "authorization", "Bearer cpk_c_d" } }));
+  CHECK(IsRefused({ { "Idempotency-Key", "a" }, { "Idempotency-Key", "a" } }));
+  CHECK(IsRefused({ { "Content-Length", "4" }, { "Content-Length", "4" } }));
+  CHECK(IsRefused({ { "Content-Length", "4" }, { "Transfer-Encoding", "chunked" } }));
+  CHECK(IsRefused({ { "Host", "a" }, { "Host", "b" } }));
+}
+
+/** Guards against malformed values that are taken for absent ones. */
+TEST(caller_frame, refuses_malformed_values)
+{
+  for (const char* key :
+       { "cpk_a_b", "Bearer x", "Bearer cpk_", "Bearer cpk_a", "Bearer cpk__b", "Bearer cpk_a_" }) {
+    CHECK(IsRefused({ { "Authorization", key } }));
+  }
+  for (const char* deadline : { "0", "-1", "1x", "99999999999999999999", "1.5" }) {
+    CHECK(IsRefused({ { "Citronpulley-Deadline-Ms", deadline } }));
+  }
+  CHECK(IsRefused({ { "Citronpulley-Priority", "now" } }));
+}
+
+/** Guards against a trace that is broken by a malformed header: the header then counts as absent.
+ */
+TEST(caller_frame, reads_the_trace_header_or_begins_a_new_trace)
+{
+  const std::string valid = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+  CHECK(ReadCallerFrame(MakeRequest({ { "traceparent", valid } })).Get().mTrace ==
+        (trace_context{ "0af7651916cd43dd8448eb211c80319c", "b7ad6b7169203331" }));
+  CHECK(ReadCallerFrame(MakeRequest({ { "traceparent", valid + "x" } })).Get().mTrace ==
+        trace_context{});
+}
+
+/** Guards against an error body without the fields that callers rely on. */
+TEST(caller_frame, reports_errors_with_code_step_peer_and_outcome)
+{
+  const http_answer answer =
+    MakeErrorAnswer(MakeError(error_code::RateExceeded, step::Admit, "vm-1", "text \"quoted\""),
+                    request_outcome::NotRun);
+  LONGS_EQUAL(429, answer.mStatus);
+  STRCMP_EQUAL(
+    "{\"error\":{\"code\":\"rate_exceeded\",\"message\":\"text \\\"quoted\\\"\",\"step\":"
+    "\"admit\",\"peer\":\"vm-1\",\"outcome\":\"not_run\"}}\n",
+    answer.mBody.c_str());
+}
--- /dev/null
+++ b/tests/runtime/http_server_test.cpp
@@ -0,0 +1,177 @@
+#include "citronpulley/runtime/http_server.h"
+
+#include "citronpulley/runtime/duty_thread.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronpulley;
+
+namespace {
+
+constexpr const char* kAddress = "127.31.77.1";
+constexpr std::uint16_t kPort = 18'099;
+
+/** Plain client socket that sends bytes as given and reads until the server closes. */
+class raw_client
+{
+public:
+  raw_client()
+    : mSocket(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(kPort);
+    inet_pton(AF_INET, kAddress, &address.sin_addr);
+    CHECK_EQUAL(0, ::connect(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof address));
+  }
+  ~raw_client() { ::close(mSocket); }
+  raw_client(const raw_client&) = delete;
+  raw_client& operator=(const raw_client&) = delete;
+
+  void Send(const std::string& aBytes)
+  {
+    ::send(mSocket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+  }
+
+  std::string ReadAll()
+  {
+    std::string text;
+    char buffer[4096];
+    for (;;) {
+      const ssize_t read = ::recv(mSocket, buffer, sizeof buffer, 0);
+      if (read <= 0) {
+        return text;
+      }
+      text.append(buffer, static_cast<std::size_t>(read));
+    }
+  }
+
+  void CloseSending() { ::shutdown(mSocket, SHUT_WR); }
+
+private:
+  int mSocket;
+};
+
+} // namespace
+
+TEST_GROUP(http_server)
+{
+  duty_thread mThread{ "test-http" };
+  caller_limits mLimits{ 1'024, 2'048, 4'096, 300, 300, 8 };
+  std::mutex mMutex;
+  std::condition_variable mChanged;
+  int mGone = 0;
+  http_server* mServer = nullptr;
+
+  void setup() override
+  {
+    mServer = new http_server(mThread,
+                              mLimits,
+                              { [this](const http_request_received& aRequest) {
+                                 if (aRequest.mTarget != "/wait") {
+                                   mServer->Reply(
+                                     aRequest.mRequest,
+                                     { 200, { { "Transfer-Encoding", "x" } }, aRequest.mBody });
+                                 }
+                               },
+                                [this](http_client_gone) {
+                                  const std::lock_guard lock(mMutex);
+                                  ++mGone;
+                                  mChanged.notify_all();
+                                } });
+    CHECK(!!mServer->Listen(kAddress, kPort));
+  }
+
+  void teardown() override
+  {
+    mThread.Stop();
+    delete mServer;
+  }
+
+  std::string Exchange(const std::string& aBytes)
+  {
+    raw_client client;
+    client.Send(aBytes);
+    return client.ReadAll();
+  }
+
+  static bool Has(const std::string& aText, const std::string& aPart)
+  {
+    return aText.find(aPart) != std::string::npos;
+  }
+};
+
+/** Guards against an answer without the length of its whole body. */
+TEST(http_server, answers_with_the_length_of_the_body)
+{
+  const std::string answer =
+    Exchange("POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody");
+  CHECK(Has(answer, "HTTP/1.1 200"));
+  CHECK(Has(answer, "Content-Length: 4"));
+  CHECK_FALSE(Has(answer, "Transfer-Encoding"));
+  CHECK(answer.ends_with("\r\n\r\nbody"));
+}
+
+/** Guards against headers and bodies that use up memory. */
+TEST(http_server, refuses_oversized_headers_and_bodies)
+{
+  CHECK(Has(Exchange("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(3'000, 'x') + "\r\n\r\n"),
+            "headers_too_large"));
+  const std::string answer = Exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" +
+                                      std::string(5'000, 'x'));
+  CHECK(Has(answer, "HTTP/1.1 413"));
+  CHECK(Has(answer, "\"outcome\":\"not_run\""));
+}
+
+/** Guards against senders that hold a connection by sending slowly. */
+TEST(http_server, refuses_a_request_that_does_not_arrive_in_time)
+{
+  CHECK(
+    Has(Exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n\r\nslow"), "slow_sender"));
+}
+
+/** Guards against connections that are opened and never used. */
+TEST(http_server, closes_a_silent_connection)
+{
+  STRCMP_EQUAL("", Exchange("").c_str());
+}
+
+/** Guards against framing that two readers would understand in two ways. */
+TEST(http_server, refuses_malformed_and_contradictory_framing)
+{
+  CHECK(Has(Exchange("nonsense\r\n\r\n"), "HTTP/1.1 400"));
+  CHECK(
+    Has(Exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"),
+        "HTTP/1.1 400"));
+  CHECK(Has(Exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+            "HTTP/1.1 400"));
+}
+
+/** Guards against work that goes on for a caller who has gone; half-closing counts as going. */
+TEST(http_server, notices_a_client_that_closes_while_its_request_runs)
+{
+  raw_client client;
+  client.Send("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+  client.CloseSending();
+  std::unique_lock lock(mMutex);
+  mChanged.wait(lock, [this] { return mGone == 1; });
+}
+
+/** Guards against two requests on one connection whose answers get mixed. */
+TEST(http_server, answers_requests_on_one_connection_in_order)
+{
+  const std::string answer = Exchange("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\none"
+                                      "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                                      "Content-Length: 3\r\n\r\ntwo");
+  CHECK(answer.find("one") < answer.find("two"));
+  CHECK(answer.ends_with("two"));
+}
