Export headroom and drain time as metrics

Cause: two of the five measures had no metric. Ruled out: gauges at the control VMs; entry VMs hold the same summaries and are the ones that are scraped. Change: fleet_gauges, pure, called on each tick and due each second. Figures: test reports_headroom_and_the_time_that_a_drain_takes passes in virtual time. Conclusion: all five measures are metrics by name; refusals inside the rate are only counted once the limits report them.

--- a/src/citronpulley/node/entry_node.cpp
+++ b/src/citronpulley/node/entry_node.cpp
@@ -204,6 +204,7 @@
   DetectFailures(aNow, aActions);
   SendUpdates(aNow, aActions);
   RequestTokens(aNow, aActions);
+  mGauges.Tick(GetView().GetCatalogue(), mZones, aNow, aActions);
   const bool mayStop = mSelf.mIsStopping && aNow >= mStopsFrom && mFlow.GetPendingCount() == 0 &&
                        mDispatcher.GetJobCount() == 0;
   if (mayStop) {
--- a/src/citronpulley/node/entry_node.h
+++ b/src/citronpulley/node/entry_node.h
@@ -6,6 +6,7 @@
 #include "citronpulley/membership/failure_detector.h"
 #include "citronpulley/membership/zone_directory.h"
 #include "citronpulley/node/control_link.h"
+#include "citronpulley/node/fleet_gauges.h"
 #include "citronpulley/node/node_actions.h"
 #include "citronpulley/node/node_events.h"
 #include "citronpulley/node/request_flow.h"
@@ -75,6 +76,7 @@
   backend_dispatcher mDispatcher;
   std::vector<zone_summary> mZones;
   request_flow mFlow;
+  fleet_gauges mGauges;
   std::uint64_t mUpdateSequence = 0;
   instant mNextUpdateAt;
   std::vector<homed_server> mLastUpdate;
