Name the entry VMs of a client's nearest region first

Cause: the list of entry VMs ignored client_blocks and began with the answering VM, so that clients far from it stayed far, and each VM gave its own order. A bad CIDR text in the configuration was accepted.

Ruled out: a trie (more memory and dependent reads per look-up); a table of whole /24s (blocks may be narrower); ordering VMs by position, which moves all clients when one VM is lost.

Change: client_block_table flattens nested blocks into disjoint ranges of four bytes, indexed by the upper half of the address. entry_vm_order ranks zones and VMs by a rendezvous hash of the client's address. The CIDR reader is in base, over Asio, and ParseCatalogue reports bad blocks and bits set after a prefix.

Conclusion: nearest regions come first, and one client's requests meet the same VMs whichever VM answers.

--- a/src/citronpulley/base/base.h
+++ b/src/citronpulley/base/base.h
@@ -3,8 +3,8 @@
 
 /**
  * @file
- * Module `base`: identifiers, points in time, errors, results, digests, the bounded ring between
- * threads and the registry of plug-ins. It depends on no other module.
+ * Module `base`: identifiers, points in time, errors, results, digests, IPv4 blocks, the bounded
+ * ring between threads and the registry of plug-ins. It depends on no other module.
  */
 
 #include "citronpulley/base/bounded_ring.h"
@@ -12,6 +12,7 @@
 #include "citronpulley/base/error.h"
 #include "citronpulley/base/identifiers.h"
 #include "citronpulley/base/instant.h"
+#include "citronpulley/base/ipv4_block.h"
 #include "citronpulley/base/overloaded.h"
 #include "citronpulley/base/plugin_registry.h"
 #include "citronpulley/base/result.h"
--- a/src/citronpulley/config/catalogue.cpp
+++ b/src/citronpulley/config/catalogue.cpp
@@ -1,5 +1,6 @@
 #include "citronpulley/config/catalogue.h"
 
+#include "citronpulley/base/ipv4_block.h"
 #include "citronpulley/config/toml_reader.h"
 
 #include <algorithm>
@@ -317,6 +318,11 @@
   reader.ReadTables("client_blocks", [&](toml_reader& aTable) {
     content.mClientBlocks.push_back(
       { aTable.RequireString("network"), region_name(aTable.RequireString("region")) });
+    const std::string& network = content.mClientBlocks.back().mNetwork;
+    const result<ipv4_block> block = ParseIpv4Block(network);
+    if (!network.empty() && !block) {
+      aTable.Report("network", block.GetError().mMessage, "an IPv4 block such as \"10.2.0.0/16\"");
+    }
   });
   content.mDrainedRegions = ToNames<region_name>(reader.ReadStrings("drained_regions"));
   content.mDrainedZones = ToNames<zone_name>(reader.ReadStrings("drained_zones"));
--- a/src/citronpulley/node/entry_node.cpp
+++ b/src/citronpulley/node/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include "citronpulley/base/overloaded.h"
 #include "citronpulley/node/announcement_reader.h"
+#include "citronpulley/routing/entry_vm_order.h"
 
 #include <boost/json.hpp>
 
@@ -154,6 +155,8 @@
   }
   mDirectory.SetVms(aReply.mLiveVms);
   if (GetView().GetConfigurationVersion() != versionBefore) {
+    const catalogue* content = GetView().GetCatalogue();
+    mClientBlocks = content == nullptr ? client_block_table() : MakeClientBlockTable(*content);
     aActions.emplace_back(write_log{ log_level::Information,
                                      "configuration version " +
                                        std::to_string(GetView().GetConfigurationVersion()) +
@@ -239,35 +242,28 @@
   mFlow.HandleDispatcher(std::move(wanted), aNow, aActions);
 }
 
-http_answer entry_node::ListEntryVms(const http_request_received& /*aRequest*/,
-                                     present_time aNow) const
+http_answer entry_node::ListEntryVms(const http_request_received& aRequest, present_time aNow) const
 {
   const catalogue* content = GetView().GetCatalogue();
-  const auto distance = [&](const vm_record& aVm) {
-    if (aVm.mZone == mSelf.mZone) {
-      return 0.0;
+  entry_vm_query query{ aRequest.mClientAddress, mSelf.mRegion, mSelf.mZone };
+  if (const auto address = ParseIpv4Address(aRequest.mClientAddress)) {
+    if (const auto site = mClientBlocks.Find(*address)) {
+      query.mNearestRegion = content->mRegions[*site].mName;
     }
-    return 1.5 +
-           (content == nullptr ? 0 : content->GetOneWayMilliseconds(mSelf.mRegion, aVm.mRegion));
-  };
-  std::vector<vm_record> vms;
-  std::map<zone_name, std::size_t> named;
-  const auto add = [&](const vm_record& aVm) {
-    if (!aVm.mIsStopping && named[aVm.mZone] < kMaxNamedVmsPerZone) {
-      ++named[aVm.mZone];
-      vms.push_back(aVm);
-    }
-  };
-  add(mSelf);
+  }
+  std::vector<vm_record> healthy;
+  if (!mSelf.mIsStopping) {
+    healthy.push_back(mSelf);
+  }
   for (const auto& [name, vm] : mDirectory.GetVms()) {
     const bool isLocal = vm.mZone == mSelf.mZone;
-    if (name != mSelf.mVm && (!isLocal || mDirectory.IsAlive(name, aNow.mMonotonic))) {
-      add(vm);
+    if (name != mSelf.mVm && !vm.mIsStopping &&
+        (!isLocal || mDirectory.IsAlive(name, aNow.mMonotonic))) {
+      healthy.push_back(vm);
     }
   }
-  std::stable_sort(vms.begin(), vms.end(), [&](const vm_record& aLeft, const vm_record& aRight) {
-    return distance(aLeft) < distance(aRight);
-  });
+  const std::vector<vm_record> vms =
+    OrderEntryVms(std::move(healthy), query, content, kMaxNamedVmsPerZone);
   boost::json::array list;
   for (const vm_record& vm : vms) {
     list.push_back({ { "vm", vm.mVm.mValue },
--- a/src/citronpulley/node/entry_node.h
+++ b/src/citronpulley/node/entry_node.h
@@ -8,6 +8,7 @@
 #include "citronpulley/node/node_actions.h"
 #include "citronpulley/node/node_events.h"
 #include "citronpulley/node/request_flow.h"
+#include "citronpulley/routing/client_block_table.h"
 
 #include <cstdint>
 #include <string>
@@ -71,6 +72,7 @@
   zone_directory mDirectory;
   backend_dispatcher mDispatcher;
   std::vector<zone_summary> mZones;
+  client_block_table mClientBlocks;
   request_flow mFlow;
   std::uint64_t mHeartbeatSequence = 0;
   instant mNextHeartbeatAt;
