--- a/src/citronpulley/config/catalogue.cpp
+++ b/src/citronpulley/config/catalogue.cpp
@@ -297,7 +297,8 @@
 
 std::optional<catalogue> ParseCatalogue(std::string_view aText,
                                         const std::string& aFile,
-                                        config_faults& aFaults)
+                                        config_faults& aFaults,
+                                        const std::vector<std::string>& aPolicies)
 {
   const std::size_t faultsBefore = aFaults.size();
   toml_reader reader(aText, aFile, aFaults);
@@ -307,6 +308,14 @@
   catalogue content;
   content.mDeployment = reader.RequireString("deployment");
   content.mRoutingPolicy = reader.ReadString("routing_policy", "weighted");
+  if (!aPolicies.empty() &&
+      std::find(aPolicies.begin(), aPolicies.end(), content.mRoutingPolicy) == aPolicies.end()) {
+    std::string expected = "one of";
+    for (const std::string& policy : aPolicies) {
+      expected += " " + policy;
+    }
+    reader.Report("routing_policy", "\"" + content.mRoutingPolicy + "\"", std::move(expected));
+  }
   content.mIdempotencyWindowSeconds = reader.ReadInteger("idempotency_window_seconds",
                                                          { 60, kMaxIdempotencyWindowSeconds },
                                                          kDefaultIdempotencyWindowSeconds);
--- a/src/citronpulley/config/catalogue.h
+++ b/src/citronpulley/config/catalogue.h
@@ -160,11 +160,13 @@
  * @param aText TOML text
  * @param aFile name of the file for the faults
  * @param aFaults gets every fault
+ * @param aPolicies names of the routing policies that the text may choose; empty allows any name
  * @return the catalogue, or nothing when there is any fault
  */
 std::optional<catalogue> ParseCatalogue(std::string_view aText,
                                         const std::string& aFile,
-                                        config_faults& aFaults);
+                                        config_faults& aFaults,
+                                        const std::vector<std::string>& aPolicies = {});
 
 } // namespace citronpulley
 
--- a/src/citronpulley/node/control_node.cpp
+++ b/src/citronpulley/node/control_node.cpp
@@ -3,6 +3,7 @@
 #include "citronpulley/base/overloaded.h"
 #include "citronpulley/node/caller_frame.h"
 #include "citronpulley/node/operator_api.h"
+#include "citronpulley/routing/routing_policy.h"
 
 #include <utility>
 
@@ -102,7 +103,8 @@
 {
   if (const auto* submission = std::get_if<submit_configuration>(&aContent)) {
     config_faults faults;
-    if (!ParseCatalogue(submission->mText, "configuration", faults)) {
+    const std::vector<std::string> policies = routing_policy_registry::Instance().ListNames();
+    if (!ParseCatalogue(submission->mText, "configuration", faults, policies)) {
       return MakeFaultsAnswer(faults);
     }
   }
--- a/src/citronpulley/routing/routing_policy.h
+++ b/src/citronpulley/routing/routing_policy.h
@@ -19,8 +19,8 @@
   double mOneWayMilliseconds = 0;
   std::uint32_t mSlots = 0;
   std::uint32_t mRunning = 0;
-  /** Share of the steering plan for the zone's region, divided among its zones; negative without
-   * plan. */
+  /** Share of the steering plan for the zone's region; negative without plan. The plan has been
+   * applied already: with one, all candidates lie in the region that it drew. */
   double mPlannedShare = -1;
 
   friend auto operator<=>(const zone_candidate&, const zone_candidate&) = default;
@@ -41,7 +41,7 @@
 
 /**
  * Way to choose among fit zones and servers; a plug-in. It must be deterministic for the same
- * arguments: chance comes in as a number.
+ * sequence of calls: chance comes in as a number.
  */
 class routing_policy
 {
--- /dev/null
+++ b/tests/routing/routing_policy_test.cpp
@@ -0,0 +1,136 @@
+#include "citronpulley/routing/routing_policy.h"
+
+#include "citronpulley/node/control_node.h"
+
+#include <algorithm>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronpulley;
+
+namespace {
+
+const std::vector<zone_candidate> kZones{ { 0, 0, 20, 10, -1 },
+                                          { 1, 1.5, 20, 2, -1 },
+                                          { 2, 21.5, 60, 0, -1 } };
+
+std::vector<int> CountZones(const char* aPolicy,
+                            const std::vector<zone_candidate>& aZones,
+                            const steering_weights& aWeights)
+{
+  const auto policy = routing_policy_registry::Instance().Make(aPolicy);
+  std::mt19937_64 random(7);
+  std::vector<int> counts(aZones.size());
+  for (int count = 0; count < 3'000; ++count) {
+    ++counts[policy->ChooseZone(aZones, aWeights, random())];
+  }
+  return counts;
+}
+
+} // namespace
+
+TEST_GROUP(routing_policy){};
+
+/** Guards against a policy that the linker drops or that registers under another name. */
+TEST(routing_policy, all_policies_register_themselves)
+{
+  const std::vector<std::string> expected{
+    "least_reported_load", "nearest_zone", "round_robin", "weighted"
+  };
+  CHECK(routing_policy_registry::Instance().ListNames() == expected);
+}
+
+/** Guards against baselines that do not do what their names say, which spoils comparisons. */
+TEST(routing_policy, baselines_choose_by_their_one_measure)
+{
+  LONGS_EQUAL(3'000, CountZones("nearest_zone", kZones, {})[0]);
+  LONGS_EQUAL(3'000, CountZones("least_reported_load", kZones, {})[2]);
+  for (const int count : CountZones("round_robin", kZones, {})) {
+    LONGS_EQUAL(1'000, count);
+  }
+}
+
+/** Guards against a herd: all VMs that read one report choose the same zone. */
+TEST(routing_policy, weighted_divides_requests_among_zones_that_cost_alike)
+{
+  const std::vector<zone_candidate> alike{ { 0, 1.5, 20, 0, -1 }, { 1, 1.5, 10, 0, -1 } };
+  const std::vector<int> counts = CountZones("weighted", alike, {});
+  DOUBLES_EQUAL(2'000, counts[0], 150);
+}
+
+/** Guards against weights of the deployment that have no effect. */
+TEST(routing_policy, weighted_follows_latency_or_headroom_by_the_weights)
+{
+  const std::vector<int> fast = CountZones("weighted", kZones, { 3, 1, 1, 0 });
+  const std::vector<int> safe = CountZones("weighted", kZones, { 0, 1, 1, 3 });
+  CHECK(fast[0] > safe[0]);
+  LONGS_EQUAL(0, fast[2]);
+  CHECK(safe[2] > safe[0] + safe[1]);
+  const std::vector<zone_candidate> full{ { 0, 0, 20, 20, -1 }, { 1, 1.5, 20, 0, -1 } };
+  CHECK(CountZones("weighted", full, { 1, 1, 1, 1 })[1] > 2'900);
+}
+
+/** Guards against a herd on the least loaded server, and against a choice of the worst one. */
+TEST(routing_policy, weighted_takes_the_better_of_two_random_servers)
+{
+  const auto policy = routing_policy_registry::Instance().Make("weighted");
+  std::vector<server_candidate> servers;
+  for (std::uint32_t index = 0; index < 20; ++index) {
+    servers.push_back({ index, 4, index == 3 ? 4U : 1U, 0, index == 5 ? 0.0 : 1.0 });
+  }
+  servers[7].mReportedLoad = 3;
+  std::mt19937_64 random(7);
+  std::vector<int> counts(servers.size());
+  for (int count = 0; count < 20'000; ++count) {
+    ++counts[policy->ChooseServer(servers, random())];
+  }
+  LONGS_EQUAL(0, counts[5]);
+  CHECK(counts[3] + counts[7] < 500);
+  CHECK(*std::max_element(counts.begin(), counts.end()) < 2'000);
+  LONGS_EQUAL(0, policy->ChooseServer(std::span(servers).first(1), random()));
+}
+
+/** Guards against a candidate without any free slot or weight that ends in a bad position. */
+TEST(routing_policy, each_policy_stays_in_range)
+{
+  std::mt19937_64 random(11);
+  for (const std::string& name : routing_policy_registry::Instance().ListNames()) {
+    const auto policy = routing_policy_registry::Instance().Make(name);
+    for (int count = 0; count < 2'000; ++count) {
+      std::vector<zone_candidate> zones(1 + random() % 6);
+      for (zone_candidate& zone : zones) {
+        zone = { 0,
+                 static_cast<double>(random() % 40),
+                 static_cast<std::uint32_t>(random() % 3),
+                 static_cast<std::uint32_t>(random() % 5),
+                 -1 };
+      }
+      CHECK(policy->ChooseZone(zones, { 0, 0, 0, 0 }, random()) < zones.size());
+    }
+  }
+}
+
+/** Guards against a mistyped policy that is accepted and then silently replaced by another one. */
+TEST(routing_policy, text_with_an_unknown_policy_is_refused)
+{
+  control_node node(vm_name("c1"), "secret", "operator", 1);
+  const auto submit = [&](const std::string& aPolicy) {
+    http_request_received request{
+      1, "POST", "/v1/config", { { "Authorization", "Bearer operator" } }
+    };
+    request.mBody = R"({"submission":"s-)" + aPolicy + R"(","expected_version":0,"text":")" +
+                    R"(deployment='t'\nrouting_policy=')" + aPolicy +
+                    R"('\n[[regions]]\nname='n'\nzones=['n-a']\ncapacity_per_second=1\n)"
+                    R"([[services]]\nname='s'\nshift_cap_percent_per_minute=1\n)"
+                    R"([[services.routes]]\npath='/'\n"})";
+    node_actions actions;
+    node.Handle(request, {}, actions);
+    return std::get<reply_to_client>(actions.at(0)).mAnswer;
+  };
+  const http_answer refusal = submit("nearest");
+  LONGS_EQUAL(400, refusal.mStatus);
+  CHECK(refusal.mBody.find("nearest_zone") != std::string::npos);
+  CHECK(refusal.mBody.find("configuration:2: routing_policy") != std::string::npos);
+  LONGS_EQUAL(200, submit("nearest_zone").mStatus);
+}
