Choose zones in a router that honours the plan and allocates nothing

Cause: request_flow built lists of summaries and candidates for each request, ignored the steering plan, the slots of dependencies and the age of summaries, and could not be measured alone.

Change: zone_router compiles text, plan and summaries when they change and decides from storage that it keeps. Hard limits come first: drained zones, no slots, dependencies without slots in the region. The plan then draws the region, and the policy chooses among its zones. A summary older than 2 s counts as half its slots, half busy; a VM without recent summaries stays in its own region. Requests that the plan sheds get region_full, not_run. entry_node feeds the router from poll replies.

--- a/src/citronpulley/node/entry_node.cpp
+++ b/src/citronpulley/node/entry_node.cpp
@@ -35,7 +35,8 @@
   , mSecret(std::move(aSecret))
   , mLink(std::move(aControlVms))
   , mDirectory(mSelf)
-  , mFlow({ mSelf, mSecret, mLink, mWallet, mDirectory, mDispatcher, mZones }, aSeed)
+  , mRouter(mSelf.mZone, mSelf.mRegion)
+  , mFlow({ mSelf, mSecret, mLink, mWallet, mDirectory, mDispatcher, mRouter }, aSeed)
 {
 }
 
@@ -143,7 +144,6 @@
   if (!mLink.Accept(aReply, aNow)) {
     return;
   }
-  mZones = aReply.mZones;
   for (const vm_record& vm : aReply.mLiveVms) {
     const auto known = mDirectory.GetVms().find(vm.mVm);
     const bool isNew = known == mDirectory.GetVms().end() ||
@@ -157,12 +157,17 @@
   if (GetView().GetConfigurationVersion() != versionBefore) {
     const catalogue* content = GetView().GetCatalogue();
     mClientBlocks = content == nullptr ? client_block_table() : MakeClientBlockTable(*content);
+    if (content != nullptr) {
+      mRouter.SetCatalogue(*content);
+    }
     aActions.emplace_back(write_log{ log_level::Information,
                                      "configuration version " +
                                        std::to_string(GetView().GetConfigurationVersion()) +
                                        " is in force",
                                      "" });
   }
+  mRouter.SetPlan(GetView().GetPlan());
+  mRouter.SetSummaries(aReply.mZones, aNow);
 }
 
 void entry_node::HandleTick(instant aNow, node_actions& aActions)
--- a/src/citronpulley/node/entry_node.h
+++ b/src/citronpulley/node/entry_node.h
@@ -9,6 +9,7 @@
 #include "citronpulley/node/node_events.h"
 #include "citronpulley/node/request_flow.h"
 #include "citronpulley/routing/client_block_table.h"
+#include "citronpulley/routing/zone_router.h"
 
 #include <cstdint>
 #include <string>
@@ -71,7 +72,7 @@
   rate_wallet mWallet;
   zone_directory mDirectory;
   backend_dispatcher mDispatcher;
-  std::vector<zone_summary> mZones;
+  zone_router mRouter;
   client_block_table mClientBlocks;
   request_flow mFlow;
   std::uint64_t mHeartbeatSequence = 0;
--- a/src/citronpulley/node/request_flow.cpp
+++ b/src/citronpulley/node/request_flow.cpp
@@ -4,7 +4,6 @@
 #include "citronpulley/state/claim_table.h"
 
 #include <algorithm>
-#include <cassert>
 #include <utility>
 
 namespace citronpulley {
@@ -213,12 +212,15 @@
                          instant aNow,
                          node_actions& aActions)
 {
-  if (!ChooseZone(aRequest, aNow)) {
+  const zone_verdict verdict = ChooseZone(aRequest, aNow);
+  if (verdict != zone_verdict::Chosen) {
+    const bool isShed = verdict == zone_verdict::Shed;
     FinishFailed(aRequest.mNumber,
-                 MakeFailure(error_code::NoBackendServer,
+                 MakeFailure(isShed ? error_code::RegionFull : error_code::NoBackendServer,
                              step::Route,
                              "",
-                             "no zone has a backend server of the service",
+                             isShed ? "the steering plan sheds this request"
+                                    : "no zone has a backend server of the service",
                              request_outcome::NotRun),
                  aNow,
                  aActions);
@@ -359,7 +361,7 @@
     }
   }
   std::erase_if(servers, [](const located_server& aServer) { return aServer.mServer.mSlots == 0; });
-  if (servers.empty() || mPolicy == nullptr) {
+  if (servers.empty()) {
     RunHere(aRequest, aNow, aActions);
     return;
   }
@@ -368,7 +370,7 @@
     const homed_server& server = servers[index].mServer;
     candidates.push_back({ index, server.mSlots, server.mRunning, 0, 1 });
   }
-  const located_server& chosen = servers[mPolicy->ChooseServer(candidates, mRandom())];
+  const located_server& chosen = servers[mParts.mRouter.ChooseServer(candidates, mRandom())];
   if (chosen.mHome == mParts.mSelf.mVm) {
     RunHere(aRequest, aNow, aActions);
   } else {
@@ -431,24 +433,14 @@
   aActions.emplace_back(send_peer_message{ aReceiver, std::move(forward) });
 }
 
-bool request_flow::ChooseZone(active_request& aRequest, instant aNow)
+zone_verdict request_flow::ChooseZone(active_request& aRequest, instant aNow)
 {
-  const catalogue& content = *mParts.mLink.GetView().GetCatalogue();
-  if (mPolicy == nullptr || mPolicyName != content.mRoutingPolicy) {
-    mPolicyName = content.mRoutingPolicy;
-    mPolicy = routing_policy_registry::Instance().Make(mPolicyName);
-    if (mPolicy == nullptr) {
-      mPolicy = routing_policy_registry::Instance().Make("weighted");
-    }
-    assert(mPolicy != nullptr);
-  }
   // The own zone is known at first hand, which also holds when the control group is out of reach.
-  zone_summary own{ mParts.mSelf.mZone, aRequest.mService, 0, 0, 0 };
+  zone_query query{ aRequest.mService, 0, 0, aRequest.mTriedZones, mParts.mLink.IsFresh(aNow) };
   const auto count = [&](const homed_server& aServer) {
     if (aServer.mService == aRequest.mService && aServer.mTakesWork) {
-      own.mServers += 1;
-      own.mSlots += aServer.mSlots;
-      own.mRunning += aServer.mRunning;
+      query.mOwnSlots += aServer.mSlots;
+      query.mOwnRunning += aServer.mRunning;
     }
   };
   for (const homed_server& server : mParts.mDispatcher.ListServers(aNow)) {
@@ -457,41 +449,11 @@
   for (const located_server& located : mParts.mDirectory.ListServers(aRequest.mService, aNow)) {
     count(located.mServer);
   }
-  std::vector<zone_summary> zones;
-  if (own.mSlots > 0) {
-    zones.push_back(own);
-  }
-  if (mParts.mLink.IsFresh(aNow)) {
-    for (const zone_summary& zone : mParts.mZones) {
-      if (zone.mService == aRequest.mService && zone.mZone != own.mZone && zone.mSlots > 0) {
-        zones.push_back(zone);
-      }
-    }
-  }
-  std::vector<zone_candidate> candidates;
-  for (std::uint32_t index = 0; index < zones.size(); ++index) {
-    const zone_summary& zone = zones[index];
-    const region_entry* region = content.FindRegionOfZone(zone.mZone);
-    const bool isDrained =
-      region == nullptr ||
-      std::count(content.mDrainedRegions.begin(), content.mDrainedRegions.end(), region->mName) >
-        0 ||
-      std::count(content.mDrainedZones.begin(), content.mDrainedZones.end(), zone.mZone) > 0;
-    if (isDrained || aRequest.mTriedZones.contains(zone.mZone)) {
-      continue;
-    }
-    const double oneWay =
-      zone.mZone == own.mZone
-        ? 0
-        : 1.5 + content.GetOneWayMilliseconds(mParts.mSelf.mRegion, region->mName);
-    candidates.push_back({ index, oneWay, zone.mSlots, zone.mRunning, -1 });
-  }
-  if (candidates.empty()) {
-    return false;
+  const zone_choice choice = mParts.mRouter.Choose(query, aNow, mRandom());
+  if (choice.mZone != nullptr) {
+    aRequest.mZone = *choice.mZone;
   }
-  const std::size_t chosen = mPolicy->ChooseZone(candidates, content.mWeights, mRandom());
-  aRequest.mZone = zones[candidates[chosen].mZone].mZone;
-  return true;
+  return choice.mVerdict;
 }
 
 std::map<std::string, double> request_flow::GetCosts(const active_request& aRequest,
@@ -584,7 +546,7 @@
   if (aFailure.mOutcome == request_outcome::NotRun) {
     request.mTriedZones.insert(request.mZone);
   }
-  if (!ChooseZone(request, aNow)) {
+  if (ChooseZone(request, aNow) != zone_verdict::Chosen) {
     FinishFailed(aNumber, aFailure, aNow, aActions);
     return;
   }
--- a/src/citronpulley/node/request_flow.h
+++ b/src/citronpulley/node/request_flow.h
@@ -7,11 +7,10 @@
 #include "citronpulley/node/active_request.h"
 #include "citronpulley/node/control_link.h"
 #include "citronpulley/node/node_actions.h"
-#include "citronpulley/routing/routing_policy.h"
+#include "citronpulley/routing/zone_router.h"
 
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -28,7 +27,7 @@
   rate_wallet& mWallet;
   zone_directory& mDirectory;
   backend_dispatcher& mDispatcher;
-  const std::vector<zone_summary>& mZones;
+  zone_router& mRouter;
 };
 
 /**
@@ -115,7 +114,7 @@
                std::uint8_t aHops,
                instant aNow,
                node_actions& aActions);
-  bool ChooseZone(active_request& aRequest, instant aNow);
+  zone_verdict ChooseZone(active_request& aRequest, instant aNow);
   std::map<std::string, double> GetCosts(const active_request& aRequest, instant aNow) const;
   void FailAttempt(std::uint64_t aNumber,
                    const request_failure& aFailure,
@@ -144,8 +143,6 @@
 
   flow_parts mParts;
   std::mt19937_64 mRandom;
-  std::unique_ptr<routing_policy> mPolicy;
-  std::string mPolicyName;
   std::map<std::uint64_t, active_request> mRequests;
   std::map<std::uint64_t, std::uint64_t> mByAttempt;
   std::map<claim_holder, unrecorded_outcome> mOutcomes;
--- a/src/citronpulley/routing/routing.h
+++ b/src/citronpulley/routing/routing.h
@@ -11,5 +11,6 @@
 #include "citronpulley/routing/client_block_table.h"
 #include "citronpulley/routing/entry_vm_order.h"
 #include "citronpulley/routing/routing_policy.h"
+#include "citronpulley/routing/zone_router.h"
 
 #endif
