--- a/src/citronpulley/config/catalogue.cpp
+++ b/src/citronpulley/config/catalogue.cpp
@@ -1,5 +1,6 @@
 #include "citronpulley/config/catalogue.h"
 
+#include "citronpulley/base/ipv4_block.h"
 #include "citronpulley/config/toml_reader.h"
 
 #include <algorithm>
@@ -296,7 +297,8 @@
 
 std::optional<catalogue> ParseCatalogue(std::string_view aText,
                                         const std::string& aFile,
-                                        config_faults& aFaults)
+                                        config_faults& aFaults,
+                                        const std::vector<std::string>& aPolicies)
 {
   const std::size_t faultsBefore = aFaults.size();
   toml_reader reader(aText, aFile, aFaults);
@@ -306,6 +308,14 @@
   catalogue content;
   content.mDeployment = reader.RequireString("deployment");
   content.mRoutingPolicy = reader.ReadString("routing_policy", "weighted");
+  if (!aPolicies.empty() &&
+      std::find(aPolicies.begin(), aPolicies.end(), content.mRoutingPolicy) == aPolicies.end()) {
+    std::string expected = "one of";
+    for (const std::string& policy : aPolicies) {
+      expected += " " + policy;
+    }
+    reader.Report("routing_policy", "\"" + content.mRoutingPolicy + "\"", std::move(expected));
+  }
   content.mIdempotencyWindowSeconds = reader.ReadInteger("idempotency_window_seconds",
                                                          { 60, kMaxIdempotencyWindowSeconds },
                                                          kDefaultIdempotencyWindowSeconds);
@@ -317,6 +327,11 @@
   reader.ReadTables("client_blocks", [&](toml_reader& aTable) {
     content.mClientBlocks.push_back(
       { aTable.RequireString("network"), region_name(aTable.RequireString("region")) });
+    const std::string& network = content.mClientBlocks.back().mNetwork;
+    const result<ipv4_block> block = ParseIpv4Block(network);
+    if (!network.empty() && !block) {
+      aTable.Report("network", block.GetError().mMessage, "an IPv4 block such as \"10.2.0.0/16\"");
+    }
   });
   content.mDrainedRegions = ToNames<region_name>(reader.ReadStrings("drained_regions"));
   content.mDrainedZones = ToNames<zone_name>(reader.ReadStrings("drained_zones"));
--- a/src/citronpulley/node/entry_node.cpp
+++ b/src/citronpulley/node/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include "citronpulley/base/overloaded.h"
 #include "citronpulley/node/announcement_reader.h"
+#include "citronpulley/routing/entry_vm_order.h"
 
 #include <boost/json.hpp>
 
@@ -49,7 +50,8 @@
   , mLink(std::move(aControlVms))
   , mDirectory(mSelf)
   , mDetector(mSelf.mVm, mSelf.mIncarnation, aSeed)
-  , mFlow({ mSelf, mSecret, mLink, mWallet, mDirectory, mDispatcher, mZones }, aSeed)
+  , mRouter(mSelf.mZone, mSelf.mRegion)
+  , mFlow({ mSelf, mSecret, mLink, mWallet, mDirectory, mDispatcher, mRouter }, aSeed)
 {
 }
 
@@ -173,7 +175,6 @@
   if (!mLink.Accept(aReply, aNow)) {
     return;
   }
-  mZones = aReply.mZones;
   for (const vm_record& vm : aReply.mLiveVms) {
     const auto known = mDirectory.GetVms().find(vm.mVm);
     const bool isNew = known == mDirectory.GetVms().end() ||
@@ -186,12 +187,20 @@
   mDirectory.SetVms(aReply.mLiveVms);
   mDetector.SetMembers(mDirectory.ListZonePeers());
   if (GetView().GetConfigurationVersion() != versionBefore) {
+    const catalogue* content = GetView().GetCatalogue();
+    mClientBlocks = content == nullptr ? client_block_table() : MakeClientBlockTable(*content);
+    if (content != nullptr) {
+      mRouter.SetCatalogue(*content);
+    }
     aActions.emplace_back(write_log{ log_level::Information,
                                      "configuration version " +
                                        std::to_string(GetView().GetConfigurationVersion()) +
                                        " is in force",
                                      "" });
   }
+  mRouter.SetPlan(GetView().GetPlan());
+  mRouter.SetSummaries(aReply.mZones, aNow);
+  mZones = aReply.mZones;
 }
 
 void entry_node::HandleTick(instant aNow, node_actions& aActions)
@@ -273,35 +282,28 @@
   mFlow.HandleDispatcher(std::move(wanted), aNow, aActions);
 }
 
-http_answer entry_node::ListEntryVms(const http_request_received& /*aRequest*/,
-                                     present_time aNow) const
+http_answer entry_node::ListEntryVms(const http_request_received& aRequest, present_time aNow) const
 {
   const catalogue* content = GetView().GetCatalogue();
-  const auto distance = [&](const vm_record& aVm) {
-    if (aVm.mZone == mSelf.mZone) {
-      return 0.0;
+  entry_vm_query query{ aRequest.mClientAddress, mSelf.mRegion, mSelf.mZone };
+  if (const auto address = ParseIpv4Address(aRequest.mClientAddress)) {
+    if (const auto site = mClientBlocks.Find(*address)) {
+      query.mNearestRegion = content->mRegions[*site].mName;
     }
-    return 1.5 +
-           (content == nullptr ? 0 : content->GetOneWayMilliseconds(mSelf.mRegion, aVm.mRegion));
-  };
-  std::vector<vm_record> vms;
-  std::map<zone_name, std::size_t> named;
-  const auto add = [&](const vm_record& aVm) {
-    if (!aVm.mIsStopping && named[aVm.mZone] < kMaxNamedVmsPerZone) {
-      ++named[aVm.mZone];
-      vms.push_back(aVm);
-    }
-  };
-  add(mSelf);
+  }
+  std::vector<vm_record> healthy;
+  if (!mSelf.mIsStopping) {
+    healthy.push_back(mSelf);
+  }
   for (const auto& [name, vm] : mDirectory.GetVms()) {
     const bool isLocal = vm.mZone == mSelf.mZone;
-    if (name != mSelf.mVm && (!isLocal || mDirectory.IsAlive(name, aNow.mMonotonic))) {
-      add(vm);
+    if (name != mSelf.mVm && !vm.mIsStopping &&
+        (!isLocal || mDirectory.IsAlive(name, aNow.mMonotonic))) {
+      healthy.push_back(vm);
     }
   }
-  std::stable_sort(vms.begin(), vms.end(), [&](const vm_record& aLeft, const vm_record& aRight) {
-    return distance(aLeft) < distance(aRight);
-  });
+  const std::vector<vm_record> vms =
+    OrderEntryVms(std::move(healthy), query, content, kMaxNamedVmsPerZone);
   boost::json::array list;
   for (const vm_record& vm : vms) {
     list.push_back({ { "vm", vm.mVm.mValue },
--- a/src/citronpulley/node/entry_node.h
+++ b/src/citronpulley/node/entry_node.h
@@ -10,6 +10,8 @@
 #include "citronpulley/node/node_actions.h"
 #include "citronpulley/node/node_events.h"
 #include "citronpulley/node/request_flow.h"
+#include "citronpulley/routing/client_block_table.h"
+#include "citronpulley/routing/zone_router.h"
 
 #include <cstdint>
 #include <string>
@@ -74,9 +76,11 @@
   zone_directory mDirectory;
   failure_detector mDetector;
   backend_dispatcher mDispatcher;
-  std::vector<zone_summary> mZones;
+  zone_router mRouter;
+  client_block_table mClientBlocks;
   request_flow mFlow;
   fleet_gauges mGauges;
+  std::vector<zone_summary> mZones;
   std::uint64_t mUpdateSequence = 0;
   instant mNextUpdateAt;
   std::vector<homed_server> mLastUpdate;
