Make the arithmetic of the rate ledger exact and let holders report what they spent

Cause: tokens were compared with a tolerance of 1e-6 at the holders, so each spend could exceed the rate a little; a NaN in a report made the level undefined; and a grant counted as lent out as a whole until its last token was spent, which blocks the refill of a small burst.

Ruled out: integer micro-tokens, because region costs are products of configured means and the wire carries doubles already.

Change: tokens are lent in multiples of 1/1024, whose sums are exact. Report() lowers a grant to what its holder keeps; it only ever lowers, so repeated and overtaken reports are harmless. Reports that are no finite numbers are ignored.

--- a/src/citronpulley/limits/rate_ledger.cpp
+++ b/src/citronpulley/limits/rate_ledger.cpp
@@ -1,7 +1,10 @@
 #include "citronpulley/limits/rate_ledger.h"
 
+#include "citronpulley/limits/token_unit.h"
+
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace citronpulley {
 
@@ -25,7 +28,7 @@
 {
   assert(aWanted > 0 && !mGrants.contains(aGrant));
   Advance(aNow);
-  const double tokens = std::min(aWanted, mLevel);
+  const double tokens = RoundTokensDown(std::min(aWanted, mLevel));
   if (tokens <= 0) {
     return 0;
   }
@@ -36,11 +39,24 @@
   return tokens;
 }
 
+void rate_ledger::Report(grant_number aGrant, double aUnspent, instant aNow)
+{
+  Advance(aNow);
+  const auto found = mGrants.find(aGrant);
+  if (found == mGrants.end() || !std::isfinite(aUnspent)) {
+    return;
+  }
+  double& tokens = found->second.mTokens;
+  const double unspent = std::clamp(aUnspent, 0.0, tokens);
+  mOutstanding = std::max(0.0, mOutstanding - (tokens - unspent));
+  tokens = unspent;
+}
+
 void rate_ledger::Settle(grant_number aGrant, double aUnspent, instant aNow)
 {
   Advance(aNow);
   const auto found = mGrants.find(aGrant);
-  if (found == mGrants.end()) {
+  if (found == mGrants.end() || !std::isfinite(aUnspent)) {
     return;
   }
   const double unspent = std::clamp(aUnspent, 0.0, found->second.mTokens);
@@ -97,7 +113,7 @@
     static_cast<double>((aUntil - mRefilledAt).count()) / kMicrosecondsPerSecond;
   mRefilledAt = aUntil;
   const double room = std::max(0.0, mBurst - mOutstanding);
-  mLevel = std::min(mLevel + seconds * mRate, std::max(room, 0.0));
+  mLevel = std::min(mLevel + seconds * mRate, room);
 }
 
 void rate_ledger::Remove(grant_number aGrant)
@@ -106,6 +122,10 @@
   mOutstanding = std::max(0.0, mOutstanding - found->second.mTokens);
   mByExpiry.erase({ found->second.mExpiresAt, aGrant });
   mGrants.erase(found);
+  if (mGrants.empty()) {
+    // Keeps the rounding of sums from adding up.
+    mOutstanding = 0;
+  }
 }
 
 } // namespace citronpulley
--- a/src/citronpulley/limits/rate_ledger.h
+++ b/src/citronpulley/limits/rate_ledger.h
@@ -37,10 +37,20 @@
    * @param aWanted tokens wanted; above zero
    * @param aExpiresAt time from which the holder certainly spends nothing more
    * @param aNow present time
-   * @return tokens lent, from zero to the number wanted
+   * @return tokens lent, from zero to the number wanted, a multiple of kTokenUnit
    */
   double Lend(grant_number aGrant, double aWanted, instant aExpiresAt, instant aNow);
 
+  /**
+   * Lowers a grant to what its holder still keeps of it. Spending only lowers it, so a repeated or
+   * overtaken report changes nothing.
+   *
+   * @param aGrant number of the grant; an unknown or expired one changes nothing
+   * @param aUnspent tokens that the holder keeps
+   * @param aNow present time
+   */
+  void Report(grant_number aGrant, double aUnspent, instant aNow);
+
   /**
    * Ends a grant by the holder's report. A report on an unknown or expired grant changes nothing.
    *
@@ -56,6 +66,15 @@
    */
   void Change(double aRate, double aBurst, instant aNow);
 
+  /** @return true while all tokens count as lent out by an earlier granting VM */
+  bool IsBlocked(instant aNow) const noexcept { return mIsBlocked && aNow < mBlockedUntil; }
+
+  /** @return tokens per second */
+  double GetRate() const noexcept { return mRate; }
+
+  /** @return most tokens at hand or lent out at any time */
+  double GetBurst() const noexcept { return mBurst; }
+
   /** @return tokens at hand at a time */
   double GetLevel(instant aNow);
 
