Tell a used-up rate from a full region and let a cut-off region use its static share

Cause: a refusal named both the rate and the region; refusals inside the rate were not marked; without contact to the control group region capacity was not limited at all; calls of dependencies counted at one level only; and a workspace far above its rate made its VM try each waiting request at each tick and ask for region tokens that it could not spend.

Change: the class admission spends workspace and region tokens together, falls back to the VM's part of the tenth of the capacity that is never granted (static_share), and explains refusals as rate_exceeded or region_full. The request flow tries one waiting request of a workspace without tokens per tick and only counts the others.

Ruled out: getting the workspace token first and then the region token, because that takes two round trips for each request.

--- a/src/citronpulley/limits/limits.h
+++ b/src/citronpulley/limits/limits.h
@@ -7,10 +7,12 @@
  * spend them. It depends on `base`, `config` and `wire`.
  */
 
+#include "citronpulley/limits/admission.h"
 #include "citronpulley/limits/demand_table.h"
 #include "citronpulley/limits/grant_authority.h"
 #include "citronpulley/limits/rate_ledger.h"
 #include "citronpulley/limits/rate_wallet.h"
+#include "citronpulley/limits/static_share.h"
 #include "citronpulley/limits/token_unit.h"
 
 #endif
--- a/src/citronpulley/node/active_request.h
+++ b/src/citronpulley/node/active_request.h
@@ -62,6 +62,8 @@
   bool mMayHaveRun = false;
   /** The caller has gone, but the outcome is still to be recorded with the claim. */
   bool mIsDetached = false;
+  /** It got no tokens although the rate of its workspace was not reported as used up. */
+  bool mIsRefusedInsideRate = false;
   std::string mIdempotencyKey;
   digest mFingerprint;
   zone_name mZone;
--- a/src/citronpulley/node/request_flow.cpp
+++ b/src/citronpulley/node/request_flow.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 #include <utility>
 
 namespace citronpulley {
@@ -96,6 +97,7 @@
 
 request_flow::request_flow(flow_parts aParts, std::uint64_t aSeed)
   : mParts(aParts)
+  , mAdmission(aParts.mWallet, aParts.mSelf.mRegion)
   , mRandom(aSeed)
 {
 }
@@ -224,7 +226,7 @@
                  aActions);
     return;
   }
-  if (!mParts.mWallet.TrySpend(GetCosts(aRequest, aNow), aIsRetry, aNow)) {
+  if (!TrySpend(aRequest, aIsRetry, aNow)) {
     aRequest.mStage = request_stage::WaitsForTokens;
     return;
   }
@@ -494,26 +496,71 @@
   return true;
 }
 
-std::map<std::string, double> request_flow::GetCosts(const active_request& aRequest,
-                                                     instant aNow) const
+bool request_flow::TrySpend(const active_request& aRequest, bool aIsRetry, instant aNow)
 {
-  std::map<std::string, double> costs;
-  if (!aRequest.mWorkspace.IsEmpty() && aRequest.mAttempts == 0) {
-    costs.emplace("workspace:" + aRequest.mWorkspace.mValue, 1);
+  const catalogue& content = *mParts.mLink.GetView().GetCatalogue();
+  const region_entry* region = content.FindRegion(mParts.mSelf.mRegion);
+  if (region != nullptr && aNow >= mNextShareUpdateAt) {
+    mNextShareUpdateAt = aNow + control_link::kPollInterval;
+    const auto& vms = mParts.mDirectory.GetVms();
+    const auto count = std::count_if(vms.begin(), vms.end(), [&](const auto& aVm) {
+      return aVm.second.mRegion == mParts.mSelf.mRegion;
+    });
+    mAdmission.Configure(
+      region->mCapacityPerSecond, std::max<std::size_t>(1, static_cast<std::size_t>(count)), aNow);
   }
+  return mAdmission.TrySpend(GetCost(aRequest), aIsRetry, mParts.mLink.IsFresh(aNow), aNow);
+}
+
+request_cost request_flow::GetCost(const active_request& aRequest) const
+{
   const catalogue& content = *mParts.mLink.GetView().GetCatalogue();
-  const region_entry* region = content.FindRegionOfZone(aRequest.mZone);
-  const service_entry* service = content.FindService(aRequest.mService);
-  // Without contact to the control group no tokens can be had, and only the own zone is used.
-  if (region == nullptr || service == nullptr || !mParts.mLink.IsFresh(aNow)) {
-    return costs;
+  request_cost cost;
+  if (aRequest.mAttempts == 0) {
+    cost.mWorkspace = aRequest.mWorkspace;
   }
-  double calls = 1;
-  for (const service_dependency& dependency : service->mDependencies) {
-    calls += dependency.mCallsPerRequest;
+  if (const region_entry* region = content.FindRegionOfZone(aRequest.mZone)) {
+    cost.mRegion = region->mName;
   }
-  costs.emplace("region:" + region->mName.mValue, calls);
-  return costs;
+  cost.mCalls = CountCalls(content, aRequest.mService);
+  return cost;
+}
+
+void request_flow::RetryForTokens(std::uint64_t aNumber,
+                                  std::set<workspace_name>& aShortWorkspaces,
+                                  instant aNow,
+                                  node_actions& aActions)
+{
+  const workspace_name workspace = mRequests.at(aNumber).mWorkspace;
+  // A workspace far above its rate has many waiting requests; trying each would delay the others.
+  if (aShortWorkspaces.contains(workspace)) {
+    mAdmission.AddWaiting(workspace);
+  } else {
+    Admit(mRequests.at(aNumber), true, aNow, aActions);
+  }
+  const auto found = mRequests.find(aNumber);
+  if (found == mRequests.end() || found->second.mStage != request_stage::WaitsForTokens) {
+    return;
+  }
+  if (mAdmission.LacksRate(GetCost(found->second), aNow)) {
+    aShortWorkspaces.insert(workspace);
+  }
+  if (found->second.mTokensBy <= aNow) {
+    RefuseForTokens(found->second, aNow, aActions);
+  }
+}
+
+void request_flow::RefuseForTokens(active_request& aRequest, instant aNow, node_actions& aActions)
+{
+  token_refusal refusal =
+    mAdmission.Explain(GetCost(aRequest), aRequest.mWorkspace, aRequest.mStartedAt, aNow);
+  aRequest.mIsRefusedInsideRate = refusal.mIsInsideRate;
+  FinishFailed(
+    aRequest.mNumber,
+    MakeFailure(
+      refusal.mCode, step::Admit, "", std::move(refusal.mMessage), request_outcome::NotRun),
+    aNow,
+    aActions);
 }
 
 void request_flow::AcceptResponse(const vm_name& aSender,
@@ -588,7 +635,7 @@
     FinishFailed(aNumber, aFailure, aNow, aActions);
     return;
   }
-  if (!mParts.mWallet.TrySpend(GetCosts(request, aNow), false, aNow)) {
+  if (!TrySpend(request, false, aNow)) {
     FinishFailed(aNumber, aFailure, aNow, aActions);
     return;
   }
@@ -651,6 +698,7 @@
   record.mStartedAt = aRequest.mStartedAt;
   record.mEndedAt = aNow;
   record.mAttempts = aRequest.mAttempts;
+  record.mIsRefusedInsideRate = aRequest.mIsRefusedInsideRate;
   std::visit(
     overloaded{ [&](const caller_origin& aOrigin) {
                  record.mHop = "entry";
@@ -786,6 +834,7 @@
 
 void request_flow::Tick(instant aNow, node_actions& aActions)
 {
+  std::set<workspace_name> shortWorkspaces;
   std::vector<std::uint64_t> numbers;
   for (const auto& [number, request] : mRequests) {
     numbers.push_back(number);
@@ -797,20 +846,7 @@
     }
     active_request& request = found->second;
     if (request.mStage == request_stage::WaitsForTokens) {
-      Admit(request, true, aNow, aActions);
-      const auto still = mRequests.find(number);
-      if (still != mRequests.end() && still->second.mStage == request_stage::WaitsForTokens &&
-          still->second.mTokensBy <= aNow) {
-        FinishFailed(
-          number,
-          MakeFailure(error_code::RateExceeded,
-                      step::Admit,
-                      "",
-                      "the rate of the workspace or the capacity of the region is used up",
-                      request_outcome::NotRun),
-          aNow,
-          aActions);
-      }
+      RetryForTokens(number, shortWorkspaces, aNow, aActions);
       continue;
     }
     if (request.mDeadline <= aNow) {
--- a/src/citronpulley/node/request_flow.h
+++ b/src/citronpulley/node/request_flow.h
@@ -2,7 +2,7 @@
 #define CITRONPULLEY_NODE_REQUEST_FLOW_H
 
 #include "citronpulley/dispatch/backend_dispatcher.h"
-#include "citronpulley/limits/rate_wallet.h"
+#include "citronpulley/limits/admission.h"
 #include "citronpulley/membership/zone_directory.h"
 #include "citronpulley/node/active_request.h"
 #include "citronpulley/node/control_link.h"
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -116,7 +117,13 @@
                instant aNow,
                node_actions& aActions);
   bool ChooseZone(active_request& aRequest, instant aNow);
-  std::map<std::string, double> GetCosts(const active_request& aRequest, instant aNow) const;
+  bool TrySpend(const active_request& aRequest, bool aIsRetry, instant aNow);
+  request_cost GetCost(const active_request& aRequest) const;
+  void RetryForTokens(std::uint64_t aNumber,
+                      std::set<workspace_name>& aShortWorkspaces,
+                      instant aNow,
+                      node_actions& aActions);
+  void RefuseForTokens(active_request& aRequest, instant aNow, node_actions& aActions);
   void FailAttempt(std::uint64_t aNumber,
                    const request_failure& aFailure,
                    instant aNow,
@@ -143,6 +150,8 @@
   std::string DrawSpanId();
 
   flow_parts mParts;
+  admission mAdmission;
+  instant mNextShareUpdateAt;
   std::mt19937_64 mRandom;
   std::unique_ptr<routing_policy> mPolicy;
   std::string mPolicyName;
--- /dev/null
+++ b/tests/limits/admission_test.cpp
@@ -0,0 +1,98 @@
+#include "citronpulley/limits/admission.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronpulley;
+
+namespace {
+
+instant At(std::int64_t aMilliseconds)
+{
+  return instant(microseconds(aMilliseconds * 1000));
+}
+
+} // namespace
+
+TEST_GROUP(limits_admission)
+{
+  rate_wallet mWallet;
+  admission mAdmission{ mWallet, region_name("r") };
+  const workspace_name mWorkspace{ "a" };
+
+  /** Answers all that the wallet asks; @returns how many resources it asked for. */
+  std::size_t Grant(double aWorkspaceTokens, double aRegionTokens, std::int64_t aNow)
+  {
+    std::size_t count = 0;
+    for (const grant_request& request : mWallet.MakeRequests(1, At(aNow))) {
+      grant_reply reply;
+      reply.mRequestNumber = request.mRequestNumber;
+      reply.mHolderIncarnation = 1;
+      for (const resource_demand& demand : request.mDemands) {
+        const double tokens = demand.mResource == "region:r" ? aRegionTokens : aWorkspaceTokens;
+        reply.mGrants.push_back(
+          { demand.mResource, ++count, tokens, 1'000'000, tokens <= 0, 0, 1'000'000 });
+      }
+      mWallet.Accept(reply, At(aNow));
+    }
+    return count;
+  }
+};
+
+/** Guards against dependencies of dependencies, or a cycle of them, that load a region uncounted.
+ */
+TEST(limits_admission, counts_calls_at_all_levels)
+{
+  catalogue content;
+  content.mServices.push_back({ service_name("front"), { { service_name("middle"), 2 } } });
+  content.mServices.push_back({ service_name("middle"), { { service_name("back"), 1.5 } } });
+  content.mServices.push_back({ service_name("back"), {} });
+  DOUBLES_EQUAL(6, CountCalls(content, service_name("front")), 1e-9);
+  content.mServices[2].mDependencies.push_back({ service_name("back"), 1 });
+  CHECK(CountCalls(content, service_name("back")) < 100);
+}
+
+/** Guards against an error that blames the workspace for a full region or the other way round. */
+TEST(limits_admission, tells_the_rate_from_the_region)
+{
+  const request_cost cost{ mWorkspace, region_name("r"), 2 };
+  CHECK_FALSE(mAdmission.TrySpend(cost, false, true, At(0)));
+  CHECK_FALSE(mAdmission.TrySpend(cost, true, true, At(5)));
+  LONGS_EQUAL(2, Grant(1, 0, 5));
+  token_refusal refusal = mAdmission.Explain(cost, mWorkspace, At(0), At(10));
+  CHECK(refusal.mCode == error_code::RegionFull);
+  CHECK(refusal.mIsInsideRate);
+  CHECK_FALSE(mAdmission.TrySpend(cost, true, true, At(1200)));
+  LONGS_EQUAL(2, Grant(0, 2, 1200));
+  refusal = mAdmission.Explain(cost, mWorkspace, At(1100), At(1250));
+  CHECK(refusal.mCode == error_code::RateExceeded);
+  CHECK_FALSE(refusal.mIsInsideRate);
+}
+
+/** Guards against a cut-off zone that serves nothing, or spends its share without need. */
+TEST(limits_admission, uses_the_static_share_only_when_cut_off)
+{
+  const request_cost cost{ {}, region_name("r"), 1 };
+  const request_cost foreign{ {}, region_name("s"), 1 };
+  mAdmission.Configure(100, 2, At(0));
+  CHECK_FALSE(mAdmission.TrySpend(cost, false, true, At(1000)));
+  CHECK(mAdmission.TrySpend(cost, false, false, At(1000)));
+  CHECK_FALSE(mAdmission.TrySpend(foreign, false, false, At(1000)));
+  CHECK_FALSE(mAdmission.TrySpend({ mWorkspace, region_name("r"), 1 }, false, false, At(1000)));
+  mAdmission.TrySpend(cost, true, true, At(1000));
+  CHECK_FALSE(mWallet.MakeRequests(1, At(1000)).empty());
+  CHECK_FALSE(mAdmission.TrySpend(cost, true, true, At(1099)));
+  CHECK(mAdmission.TrySpend(cost, true, true, At(1100)));
+}
+
+/** Guards against a workspace above its rate that takes region tokens which it cannot spend. */
+TEST(limits_admission, wants_no_region_tokens_beside_a_used_up_rate)
+{
+  const request_cost cost{ mWorkspace, region_name("r"), 1 };
+  mAdmission.TrySpend(cost, false, true, At(0));
+  mAdmission.TrySpend(cost, true, true, At(5));
+  LONGS_EQUAL(2, Grant(0, 0.5, 5));
+  mAdmission.TrySpend(cost, true, true, At(15));
+  CHECK(mAdmission.LacksRate(cost, At(15)));
+  mAdmission.AddWaiting(mWorkspace);
+  LONGS_EQUAL(1, Grant(1, 1, 15));
+}
--- /dev/null
+++ b/tests/limits/static_share_test.cpp
@@ -0,0 +1,51 @@
+#include "citronpulley/limits/static_share.h"
+#include "limits/spend_history.h"
+
+#include <array>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronpulley;
+
+namespace {
+
+instant At(std::int64_t aMilliseconds)
+{
+  return instant(microseconds(aMilliseconds * 1000));
+}
+
+} // namespace
+
+TEST_GROUP(limits_static_share){};
+
+/** Guards against VMs of a cut-off region that together use more than the part kept for them. */
+TEST(limits_static_share, vms_together_stay_inside_a_tenth_of_the_capacity)
+{
+  std::array<static_share, 4> shares;
+  spend_history history;
+  history.SetLimit(40, 40, At(0));
+  for (std::int64_t now = 1000; now < 11000; ++now) {
+    for (static_share& share : shares) {
+      if (now % 500 == 0) {
+        share.Configure(400, shares.size(), At(now));
+      }
+      if (share.TrySpend(1.5, At(now))) {
+        history.Add(1.5, At(now));
+      }
+    }
+  }
+  CHECK(history.GetWorstExcess() <= 1e-6);
+  CHECK(history.GetTotal() > 350);
+}
+
+/** Guards against a share that is used before the capacity is known or after it was lowered. */
+TEST(limits_static_share, starts_empty_and_follows_a_lower_capacity)
+{
+  static_share share;
+  CHECK_FALSE(share.TrySpend(1, At(5000)));
+  share.Configure(400, 4, At(5000));
+  CHECK_FALSE(share.TrySpend(1, At(5050)));
+  share.Configure(40, 4, At(7000));
+  CHECK(share.TrySpend(1, At(7000)));
+  CHECK_FALSE(share.TrySpend(1, At(7000)));
+}
