--- /dev/null
+++ b/bench/limits_bench.cpp
@@ -0,0 +1,419 @@
+#include "citronpulley/limits/grant_authority.h"
+#include "citronpulley/limits/rate_wallet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <queue>
+#include <random>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/**
+ * Measures limits in virtual time and prints a JSON object per line. Arguments: `refusals`,
+ * `fairness` or `cost`; all three without one.
+ */
+
+using namespace citronpulley;
+
+namespace {
+
+constexpr std::int64_t kSecond = 1'000'000;
+constexpr std::int64_t kTick = 5'000;
+constexpr std::int64_t kMaxWait = 150'000;
+constexpr std::size_t kRegions = 3;
+
+instant At(std::int64_t aTime)
+{
+  return instant(microseconds(aTime));
+}
+
+/** Token bucket that knows all spends at once: the reference for what is inside the rate. */
+struct token_bucket
+{
+  double mRate = 0;
+  double mBurst = 0;
+  double mLevel = 0;
+  std::int64_t mAt = 0;
+
+  void Advance(std::int64_t aNow)
+  {
+    mLevel = std::min(mBurst, mLevel + mRate * static_cast<double>(aNow - mAt) / kSecond);
+    mAt = aNow;
+  }
+};
+
+struct workspace_load
+{
+  std::string mName;
+  double mRate = 0;
+  double mBurst = 0;
+  double mLoad = 0;
+};
+
+struct workspace_result
+{
+  std::uint64_t mRequests = 0;
+  std::uint64_t mRefused = 0;
+  /** Refused although the spends of all VMs left a token. */
+  std::uint64_t mWronglyRefused = 0;
+  std::vector<std::int64_t> mWaits;
+};
+
+enum class strategy
+{
+  GrantsOnDemand,
+  StaticShares,
+  GrantsOnThreeVms,
+  StaticSharesOnThreeVms,
+  CentralBucket,
+};
+
+struct scenario
+{
+  strategy mStrategy = strategy::GrantsOnDemand;
+  std::size_t mVms = 24;
+  std::int64_t mDuration = 0;
+  std::vector<workspace_load> mWorkspaces;
+};
+
+/** Fleet of wallets with one granting VM in the first region. */
+class fleet
+{
+public:
+  explicit fleet(scenario aScenario)
+    : mScenario(std::move(aScenario))
+    , mAuthority(vm_name("control"), 1)
+    , mVms(mScenario.mVms)
+    , mResults(mScenario.mWorkspaces.size())
+  {
+    catalogue content;
+    for (const workspace_load& load : mScenario.mWorkspaces) {
+      content.mWorkspaces.push_back({ workspace_name(load.mName), load.mRate, load.mBurst });
+      mReference.push_back({ load.mRate, load.mBurst, 0, 0 });
+      const double part = mScenario.mStrategy == strategy::CentralBucket
+                            ? 1.0
+                            : 1.0 / static_cast<double>(CountServingVms());
+      for (vm& one : mVms) {
+        one.mShares.push_back({ load.mRate * part, load.mBurst * part, 0, 0 });
+        one.mWaiting.emplace_back();
+      }
+    }
+    mAuthority.SetCatalogue(content, At(0));
+  }
+
+  void Run()
+  {
+    std::vector<double> weights;
+    for (std::size_t index = 0; index < mVms.size(); ++index) {
+      // The second half of the VMs of a zone and the second zone of a region get a tenth each.
+      const std::size_t place = index / kRegions;
+      const bool isColdZone = place % 2 == 1;
+      const bool isColdVm = (place / 2) % 2 == 1;
+      weights.push_back((isColdZone ? 0.1 : 1.0) * (isColdVm ? 0.1 : 1.0));
+    }
+    std::discrete_distribution<std::size_t> choose(weights.begin(), weights.end());
+    std::vector<double> next;
+    for (const workspace_load& load : mScenario.mWorkspaces) {
+      next.push_back(5 * kSecond + DrawGap(load.mLoad));
+    }
+    for (mNow = 0; mNow < mScenario.mDuration; mNow += kTick) {
+      mAuthority.ConfirmLeadership(1, At(mNow), At(mNow));
+      for (std::size_t index = 0; index < next.size(); ++index) {
+        for (; next[index] < static_cast<double>(mNow);
+             next[index] += DrawGap(mScenario.mWorkspaces[index].mLoad)) {
+          Arrive(RouteToVm(choose(mRandom)), index, static_cast<std::int64_t>(next[index]));
+        }
+      }
+      DeliverDue();
+      for (std::size_t index = 0; index < mVms.size(); ++index) {
+        Tick(index);
+      }
+    }
+  }
+
+  const std::vector<workspace_result>& GetResults() const { return mResults; }
+  std::uint64_t GetMessages() const { return mMessages; }
+  std::uint64_t GetGrants() const { return mGrants; }
+  std::chrono::nanoseconds GetGrantingTime() const { return mGrantingTime; }
+  std::chrono::nanoseconds GetHoldingTime() const { return mHoldingTime; }
+
+private:
+  struct vm
+  {
+    rate_wallet mWallet;
+    std::vector<token_bucket> mShares;
+    std::vector<std::deque<std::int64_t>> mWaiting;
+  };
+
+  struct message
+  {
+    std::int64_t mAt = 0;
+    std::size_t mVm = 0;
+    std::variant<grant_request, grant_reply> mContent;
+
+    bool operator>(const message& aOther) const { return mAt > aOther.mAt; }
+  };
+
+  bool HasGrants() const
+  {
+    return mScenario.mStrategy == strategy::GrantsOnDemand ||
+           mScenario.mStrategy == strategy::GrantsOnThreeVms;
+  }
+
+  std::size_t CountServingVms() const
+  {
+    const bool isConcentrated = mScenario.mStrategy == strategy::GrantsOnThreeVms ||
+                                mScenario.mStrategy == strategy::StaticSharesOnThreeVms;
+    return isConcentrated ? kRegions : mVms.size();
+  }
+
+  std::size_t RouteToVm(std::size_t aVm) const
+  {
+    if (mScenario.mStrategy == strategy::CentralBucket) {
+      return 0;
+    }
+    return CountServingVms() == kRegions ? aVm % kRegions : aVm;
+  }
+
+  double DrawGap(double aPerSecond)
+  {
+    return std::exponential_distribution<double>(aPerSecond / kSecond)(mRandom);
+  }
+
+  std::int64_t GetDelay(std::size_t aVm) const { return aVm % kRegions == 0 ? 1'500 : 20'000; }
+
+  bool TrySpend(std::size_t aVm, std::size_t aWorkspace, bool aIsRetry)
+  {
+    vm& one = mVms[aVm];
+    token_bucket& share = one.mShares[aWorkspace];
+    share.Advance(mNow);
+    const auto start = std::chrono::steady_clock::now();
+    const bool isSpent =
+      HasGrants()
+        ? one.mWallet.TrySpend(
+            { { "workspace:" + mScenario.mWorkspaces[aWorkspace].mName, 1 } }, aIsRetry, At(mNow))
+        : share.mLevel >= 1;
+    mHoldingTime += std::chrono::steady_clock::now() - start;
+    if (isSpent) {
+      share.mLevel -= 1;
+      mReference[aWorkspace].Advance(mNow);
+      mReference[aWorkspace].mLevel -= 1;
+    }
+    return isSpent;
+  }
+
+  void Arrive(std::size_t aVm, std::size_t aWorkspace, std::int64_t aArrivedAt)
+  {
+    ++mResults[aWorkspace].mRequests;
+    std::deque<std::int64_t>& waiting = mVms[aVm].mWaiting[aWorkspace];
+    if (TrySpend(aVm, aWorkspace, false)) {
+      mResults[aWorkspace].mWaits.push_back(mNow - kTick > aArrivedAt ? mNow - aArrivedAt : 0);
+    } else {
+      waiting.push_back(aArrivedAt);
+    }
+  }
+
+  void Tick(std::size_t aVm)
+  {
+    vm& one = mVms[aVm];
+    for (std::size_t index = 0; index < one.mWaiting.size(); ++index) {
+      std::deque<std::int64_t>& waiting = one.mWaiting[index];
+      workspace_result& result = mResults[index];
+      while (!waiting.empty() && TrySpend(aVm, index, true)) {
+        result.mWaits.push_back(mNow - waiting.front());
+        waiting.pop_front();
+      }
+      if (waiting.size() > 1) {
+        one.mWallet.AddNeed("workspace:" + mScenario.mWorkspaces[index].mName,
+                            static_cast<double>(waiting.size() - 1));
+      }
+      for (; !waiting.empty() && waiting.front() + kMaxWait <= mNow; waiting.pop_front()) {
+        ++result.mRefused;
+        mReference[index].Advance(mNow);
+        result.mWronglyRefused += mReference[index].mLevel >= 1 ? 1 : 0;
+      }
+    }
+    if (!HasGrants()) {
+      return;
+    }
+    const auto start = std::chrono::steady_clock::now();
+    std::vector<grant_request> requests = one.mWallet.MakeRequests(1, At(mNow));
+    mHoldingTime += std::chrono::steady_clock::now() - start;
+    for (grant_request& request : requests) {
+      Send(aVm, mNow, std::move(request));
+    }
+  }
+
+  void Send(std::size_t aVm, std::int64_t aNow, std::variant<grant_request, grant_reply> aContent)
+  {
+    ++mMessages;
+    mQueue.push({ aNow + GetDelay(aVm), aVm, std::move(aContent) });
+  }
+
+  void DeliverDue()
+  {
+    while (!mQueue.empty() && mQueue.top().mAt <= mNow) {
+      const message next = mQueue.top();
+      mQueue.pop();
+      const auto start = std::chrono::steady_clock::now();
+      if (const auto* request = std::get_if<grant_request>(&next.mContent)) {
+        grant_reply reply =
+          mAuthority.Answer(vm_name("entry-" + std::to_string(next.mVm)), *request, At(next.mAt));
+        mGrantingTime += std::chrono::steady_clock::now() - start;
+        mGrants += static_cast<std::uint64_t>(
+          std::count_if(reply.mGrants.begin(), reply.mGrants.end(), [](const auto& aGrant) {
+            return aGrant.mTokens > 0;
+          }));
+        Send(next.mVm, next.mAt, std::move(reply));
+      } else {
+        mVms[next.mVm].mWallet.Accept(std::get<grant_reply>(next.mContent), At(next.mAt));
+        mHoldingTime += std::chrono::steady_clock::now() - start;
+      }
+    }
+  }
+
+  scenario mScenario;
+  std::mt19937_64 mRandom{ 7 };
+  grant_authority mAuthority;
+  std::vector<vm> mVms;
+  std::vector<token_bucket> mReference;
+  std::vector<workspace_result> mResults;
+  std::priority_queue<message, std::vector<message>, std::greater<>> mQueue;
+  std::int64_t mNow = 0;
+  std::uint64_t mMessages = 0;
+  std::uint64_t mGrants = 0;
+  std::chrono::nanoseconds mGrantingTime{ 0 };
+  std::chrono::nanoseconds mHoldingTime{ 0 };
+};
+
+double GetPercent(std::uint64_t aPart, std::uint64_t aWhole)
+{
+  return aWhole == 0 ? 0 : 100.0 * static_cast<double>(aPart) / static_cast<double>(aWhole);
+}
+
+double GetWaitMilliseconds(std::vector<std::int64_t> aWaits, double aQuantile)
+{
+  if (aWaits.empty()) {
+    return 0;
+  }
+  const auto place = aWaits.begin() + static_cast<std::ptrdiff_t>(
+                                        aQuantile * static_cast<double>(aWaits.size() - 1));
+  std::nth_element(aWaits.begin(), place, aWaits.end());
+  return static_cast<double>(*place) / 1000;
+}
+
+void MeasureRefusals()
+{
+  for (const double rate : { 20.0, 100.0, 500.0, 2000.0 }) {
+    for (const double burstSeconds : { 1.0, 0.2 }) {
+      for (const auto& [name, kind] : std::vector<std::pair<std::string_view, strategy>>{
+             { "central_bucket", strategy::CentralBucket },
+             { "grants_on_demand", strategy::GrantsOnDemand },
+             { "static_shares", strategy::StaticShares },
+             { "grants_on_three_vms", strategy::GrantsOnThreeVms },
+             { "static_shares_on_three_vms", strategy::StaticSharesOnThreeVms } }) {
+        const auto seconds = static_cast<std::int64_t>(60'000 / (0.8 * rate));
+        fleet run({ kind,
+                    24,
+                    (5 + seconds) * kSecond,
+                    { { "a", rate, burstSeconds * rate, 0.8 * rate } } });
+        run.Run();
+        const workspace_result& result = run.GetResults()[0];
+        std::printf("{\"measure\":\"refusals\",\"strategy\":\"%s\",\"rate\":%g,\"burst_s\":%g,"
+                    "\"requests\":%llu,\"refused_percent\":%.3f,\"wrongly_refused_percent\":%.3f,"
+                    "\"wait_p50_ms\":%.1f,\"wait_p99_ms\":%.1f,\"messages_per_request\":%.2f}\n",
+                    std::string(name).c_str(),
+                    rate,
+                    burstSeconds,
+                    static_cast<unsigned long long>(result.mRequests),
+                    GetPercent(result.mRefused, result.mRequests),
+                    GetPercent(result.mWronglyRefused, result.mRequests),
+                    GetWaitMilliseconds(result.mWaits, 0.5),
+                    GetWaitMilliseconds(result.mWaits, 0.99),
+                    static_cast<double>(run.GetMessages()) / static_cast<double>(result.mRequests));
+        std::fflush(stdout);
+      }
+    }
+  }
+}
+
+void MeasureFairness()
+{
+  for (const double factor : { 0.8, 10.0 }) {
+    scenario content{ strategy::GrantsOnDemand, 24, 65 * kSecond, {} };
+    content.mWorkspaces.push_back({ "hot", 500, 500, 500 * factor });
+    for (const char* name : { "b", "c", "d" }) {
+      content.mWorkspaces.push_back({ name, 200, 200, 160 });
+    }
+    fleet run(content);
+    run.Run();
+    for (std::size_t index = 0; index < content.mWorkspaces.size(); ++index) {
+      const workspace_result& result = run.GetResults()[index];
+      std::printf("{\"measure\":\"fairness\",\"hot_load_factor\":%g,\"workspace\":\"%s\","
+                  "\"requests\":%llu,\"refused_percent\":%.3f,\"served_per_s\":%.1f,"
+                  "\"wait_p50_ms\":%.1f,\"wait_p99_ms\":%.1f}\n",
+                  factor,
+                  content.mWorkspaces[index].mName.c_str(),
+                  static_cast<unsigned long long>(result.mRequests),
+                  GetPercent(result.mRefused, result.mRequests),
+                  static_cast<double>(result.mWaits.size()) / 60,
+                  GetWaitMilliseconds(result.mWaits, 0.5),
+                  GetWaitMilliseconds(result.mWaits, 0.99));
+    }
+  }
+}
+
+void MeasureCost()
+{
+  for (const std::size_t vms : { 24U, 100U, 400U, 1000U }) {
+    for (const double factor : { 0.8, 3.0 }) {
+      const double rate = 20.0 * static_cast<double>(vms);
+      constexpr std::int64_t kSeconds = 10;
+      fleet run({ strategy::GrantsOnDemand,
+                  vms,
+                  (5 + kSeconds) * kSecond,
+                  { { "a", rate, rate, factor * rate } } });
+      run.Run();
+      const auto messages = static_cast<double>(run.GetMessages());
+      std::printf("{\"measure\":\"cost\",\"holders\":%zu,\"load_factor\":%g,\"rate\":%g,"
+                  "\"refused_percent\":%.3f,\"messages_per_s\":%.0f,"
+                  "\"messages_per_holder_and_s\":%.1f,\"grants_per_s\":%.0f,"
+                  "\"granting_us_per_request\":%.2f,\"granting_core_percent\":%.2f,"
+                  "\"holding_core_percent_per_vm\":%.3f}\n",
+                  vms,
+                  factor,
+                  rate,
+                  GetPercent(run.GetResults()[0].mRefused, run.GetResults()[0].mRequests),
+                  messages / kSeconds,
+                  messages / kSeconds / static_cast<double>(vms),
+                  static_cast<double>(run.GetGrants()) / kSeconds,
+                  static_cast<double>(run.GetGrantingTime().count()) / 1e3 / (messages / 2),
+                  static_cast<double>(run.GetGrantingTime().count()) / 1e7 / kSeconds,
+                  static_cast<double>(run.GetHoldingTime().count()) / 1e7 / kSeconds /
+                    static_cast<double>(vms));
+      std::fflush(stdout);
+    }
+  }
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  const std::string_view wanted = aCount > 1 ? aArguments[1] : "";
+  if (wanted.empty() || wanted == "refusals") {
+    MeasureRefusals();
+  }
+  if (wanted.empty() || wanted == "fairness") {
+    MeasureFairness();
+  }
+  if (wanted.empty() || wanted == "cost") {
+    MeasureCost();
+  }
+  return 0;
+}
