--- a/src/citronpulley/node/entry_node.h
+++ b/src/citronpulley/node/entry_node.h
@@ -87,7 +87,6 @@
   instant mNextUpdateAt;
   std::vector<homed_server> mLastUpdate;
   instant mRepeatUpdateAt;
-  instant mNextTokenRequestAt;
   /** When the process stops, time at which the last cached list with this VM has expired. */
   instant mStopsFrom;
 };
--- a/src/citronpulley/node/request_flow.h
+++ b/src/citronpulley/node/request_flow.h
@@ -2,7 +2,7 @@
 #define CITRONPULLEY_NODE_REQUEST_FLOW_H
 
 #include "citronpulley/dispatch/backend_dispatcher.h"
-#include "citronpulley/limits/rate_wallet.h"
+#include "citronpulley/limits/admission.h"
 #include "citronpulley/membership/zone_directory.h"
 #include "citronpulley/node/active_request.h"
 #include "citronpulley/node/control_link.h"
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -115,7 +116,13 @@
                instant aNow,
                node_actions& aActions);
   zone_verdict ChooseZone(active_request& aRequest, instant aNow);
-  std::map<std::string, double> GetCosts(const active_request& aRequest, instant aNow) const;
+  bool TrySpend(const active_request& aRequest, bool aIsRetry, instant aNow);
+  request_cost GetCost(const active_request& aRequest) const;
+  void RetryForTokens(std::uint64_t aNumber,
+                      std::set<workspace_name>& aShortWorkspaces,
+                      instant aNow,
+                      node_actions& aActions);
+  void RefuseForTokens(active_request& aRequest, instant aNow, node_actions& aActions);
   void FailAttempt(std::uint64_t aNumber,
                    const request_failure& aFailure,
                    instant aNow,
@@ -142,6 +149,8 @@
   std::string DrawSpanId();
 
   flow_parts mParts;
+  admission mAdmission;
+  instant mNextShareUpdateAt;
   std::mt19937_64 mRandom;
   std::map<std::uint64_t, active_request> mRequests;
   std::map<std::uint64_t, std::uint64_t> mByAttempt;
