Compute steering plans that move under the cap of each service

Cause: nothing computed the steering plan. Drains, losses of regions and overload would have moved traffic in one step or not at all.

Ruled out: making up for late calls, which exceeds the cap in the window of the call; dropping a lost region's share at once, because a false alarm would then cost a climb under the cap; shedding for a drain, because the draining region can still serve what fits nowhere else.

Change: steering_model fills regions nearest first within 85% of capacity and of what slots can run, calls of dependencies included, and sheds what fits nowhere. shift_controller moves the plan that it is given towards that target. A step covers at most 1 s, a minute's cap is spread over 62 s, a cold region gets a quarter of the speed, shares of lost regions move first under the emergency cap, and no step loads a region beyond 90%. Drains report the remaining share, whether headroom blocks them, and their expected end.

The controller is not yet called by control_node.

--- /dev/null
+++ b/src/citronpulley/routing/shift_controller.cpp
@@ -0,0 +1,372 @@
+#include "citronpulley/routing/shift_controller.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace citronpulley {
+
+namespace {
+
+/** Time over which the cap of a minute is spread: one step more fits into a closed window, and a
+ * second is the delay of a commit that is allowed for. */
+constexpr double kCapSeconds = 62;
+constexpr double kNegligible = 1e-9;
+
+template<typename Name>
+std::size_t FindPosition(const std::vector<Name>& aNames, const Name& aName)
+{
+  return static_cast<std::size_t>(std::find(aNames.begin(), aNames.end(), aName) - aNames.begin());
+}
+
+double Sum(std::span<const double> aNumbers)
+{
+  return std::accumulate(aNumbers.begin(), aNumbers.end(), 0.0);
+}
+
+/** Writes the shares of planned rows. A row without shares keeps one entry of zero, by which
+ * readers tell it from a row without plan. */
+std::vector<region_share> WritePlan(const steering_model& aModel,
+                                    const number_grid& aShares,
+                                    const std::vector<bool>& aIsPlanned)
+{
+  std::vector<region_share> plan;
+  const std::size_t regions = aModel.mRegions.size();
+  for (std::size_t flow = 0; flow < aIsPlanned.size(); ++flow) {
+    if (!aIsPlanned[flow]) {
+      continue;
+    }
+    const service_name& service = aModel.mServices[flow / regions];
+    const region_name& source = aModel.mRegions[flow % regions];
+    const std::size_t before = plan.size();
+    for (std::size_t region = 0; region < regions; ++region) {
+      if (aShares[flow][region] > kNegligible) {
+        plan.push_back({ service, source, aModel.mRegions[region], aShares[flow][region] });
+      }
+    }
+    if (plan.size() == before) {
+      plan.push_back({ service, source, source, 0 });
+    }
+  }
+  return plan;
+}
+
+/** Change of one row of shares, shed traffic included, split by sign and by kind of loser. */
+struct row_change
+{
+  std::vector<double> mWanted;
+  std::vector<double> mLost;
+  std::vector<double> mExcess;
+  double mTotal = 0;
+};
+
+row_change CompareRows(const steering_model& aModel,
+                       std::size_t aService,
+                       std::span<const double> aPresent,
+                       std::span<const double> aTarget)
+{
+  const std::size_t regions = aPresent.size();
+  row_change change{ std::vector<double>(regions + 1),
+                     std::vector<double>(regions + 1),
+                     std::vector<double>(regions + 1) };
+  for (std::size_t place = 0; place <= regions; ++place) {
+    const bool isShed = place == regions;
+    const double difference =
+      isShed ? Sum(aPresent) - Sum(aTarget) : aTarget[place] - aPresent[place];
+    const bool isLost = !isShed && !aModel.HasSlots(aService, place);
+    change.mWanted[place] = std::max(difference, 0.0);
+    (isLost ? change.mLost : change.mExcess)[place] = std::max(-difference, 0.0);
+  }
+  change.mTotal = Sum(change.mWanted);
+  return change;
+}
+
+/** Movement of one flow in one step. The element after the last region stands for shed traffic. */
+struct flow_step
+{
+  std::vector<double> mGains;
+  std::vector<double> mLosses;
+};
+
+/**
+ * Moves a row towards its target. The shares of lost regions go first and under the emergency cap;
+ * both kinds of movement together stay under the larger cap.
+ *
+ * @param aMinutes time that the step covers
+ */
+flow_step MakeStep(const service_entry& aService,
+                   const row_change& aChange,
+                   const std::vector<bool>& aIsCold,
+                   double aMinutes)
+{
+  const std::size_t places = aChange.mWanted.size();
+  flow_step step{ std::vector<double>(places), std::vector<double>(places) };
+  const double normal = aService.mShiftCapPercentPerMinute / 100 * aMinutes;
+  const double emergency = aService.mEmergencyCapPercentPerMinute / 100 * aMinutes;
+  const double lost = Sum(aChange.mLost);
+  const double excess = Sum(aChange.mExcess);
+  const double fromLost = std::min(lost, emergency);
+  const double fromExcess = std::min(excess, std::max(normal - fromLost, 0.0));
+  if (aChange.mTotal <= 0 || fromLost + fromExcess <= 0) {
+    return step;
+  }
+  const double part = std::min((fromLost + fromExcess) / aChange.mTotal, 1.0);
+  const double coldLimit = shift_controller::kColdSpeed * (fromLost > 0 ? emergency : normal);
+  for (std::size_t place = 0; place < places; ++place) {
+    const bool isCold = place < aIsCold.size() && aIsCold[place];
+    const double gain = aChange.mWanted[place] * part;
+    step.mGains[place] = isCold ? std::min(gain, coldLimit) : gain;
+    step.mLosses[place] = (lost > 0 ? aChange.mLost[place] * fromLost / lost : 0) +
+                          (excess > 0 ? aChange.mExcess[place] * fromExcess / excess : 0);
+  }
+  return step;
+}
+
+/** Cuts the gains of all flows into regions whose load would exceed a part of their capacity. */
+template<typename Steps>
+void LimitGains(const steering_model& aModel,
+                const number_grid& aPresent,
+                double aPart,
+                Steps& aSteps)
+{
+  const std::size_t regions = aModel.mRegions.size();
+  number_grid gains(aSteps.size(), regions);
+  for (std::size_t flow = 0; flow < aSteps.size(); ++flow) {
+    std::copy_n(aSteps[flow].mGains.begin(), regions, gains[flow].begin());
+  }
+  // What regions lose in the same step is not counted, because it depends on others' cut gains.
+  const std::vector<double> loads = ComputeLoads(aModel, aPresent);
+  const std::vector<double> more = ComputeLoads(aModel, gains);
+  for (std::size_t region = 0; region < regions; ++region) {
+    const double room = std::max(aPart * aModel.mCapacity[region] - loads[region], 0.0);
+    const double part = more[region] > room ? room / more[region] : 1;
+    for (auto& step : aSteps) {
+      step.mGains[region] *= part;
+    }
+  }
+}
+
+/** Reads the plan in effect into shares; rows that sum to more than 1 are scaled down. */
+std::vector<bool> ReadPlan(const steering_model& aModel,
+                           std::span<const region_share> aPlan,
+                           number_grid& aShares)
+{
+  const std::size_t regions = aModel.mRegions.size();
+  std::vector<bool> isPlanned(aModel.mServices.size() * regions);
+  for (const region_share& share : aPlan) {
+    const std::size_t service = FindPosition(aModel.mServices, share.mService);
+    const std::size_t source = FindPosition(aModel.mRegions, share.mSource);
+    const std::size_t region = FindPosition(aModel.mRegions, share.mTarget);
+    if (service == aModel.mServices.size() || source == regions) {
+      continue;
+    }
+    const std::size_t flow = aModel.GetFlow(service, source);
+    isPlanned[flow] = true;
+    // The share of a region that the text no longer has counts as shed.
+    if (region < regions && share.mShare > 0) {
+      aShares[flow][region] += share.mShare;
+    }
+  }
+  for (std::size_t flow = 0; flow < isPlanned.size(); ++flow) {
+    const double sum = Sum(aShares[flow]);
+    for (double& share : aShares[flow]) {
+      share /= std::max(sum, 1.0);
+    }
+  }
+  return isPlanned;
+}
+
+/** Reports the drains of a model under a present plan and the target. */
+std::vector<drain_progress> ReportDrains(const steering_model& aModel,
+                                         const catalogue& aCatalogue,
+                                         const number_grid& aPresent,
+                                         const number_grid& aTarget,
+                                         const std::vector<std::vector<bool>>& aIsCold,
+                                         instant aNow)
+{
+  const std::size_t regions = aModel.mRegions.size();
+  std::vector<drain_progress> drains;
+  for (std::size_t region = 0; region < regions; ++region) {
+    if (!aModel.mIsDraining[region]) {
+      continue;
+    }
+    drain_progress drain{ aModel.mRegions[region] };
+    double all = 0;
+    double seconds = 0;
+    for (std::size_t flow = 0; flow < aModel.mServices.size() * regions; ++flow) {
+      const std::size_t service = flow / regions;
+      const double demand = aModel.mDemand[service][flow % regions] + kNegligible;
+      all += demand;
+      drain.mRemainingShare += demand * aPresent[flow][region];
+      drain.mIsBlocked = drain.mIsBlocked || aTarget[flow][region] > kNegligible;
+      if (aPresent[flow][region] - aTarget[flow][region] <= kNegligible) {
+        continue;
+      }
+      const row_change change = CompareRows(aModel, service, aPresent[flow], aTarget[flow]);
+      const double perSecond =
+        aCatalogue.mServices[service].mShiftCapPercentPerMinute / 100 / kCapSeconds;
+      seconds = std::max(seconds, change.mTotal / perSecond);
+      for (std::size_t gainer = 0; gainer < regions; ++gainer) {
+        if (aIsCold[service][gainer]) {
+          seconds =
+            std::max(seconds, change.mWanted[gainer] / perSecond / shift_controller::kColdSpeed);
+        }
+      }
+    }
+    drain.mRemainingShare /= std::max(all, kNegligible);
+    if (seconds > 0) {
+      drain.mExpectedEnd = aNow + microseconds(static_cast<std::int64_t>(seconds * 1e6));
+    }
+    drains.push_back(std::move(drain));
+  }
+  return drains;
+}
+
+} // namespace
+
+steering_model shift_controller::Observe(const shift_input& aInput, instant aNow)
+{
+  steering_model model = MakeSteeringModel(aInput.mCatalogue);
+  const std::size_t regions = model.mRegions.size();
+  std::vector<double> running(model.mServices.size());
+  for (const zone_summary& zone : aInput.mZones) {
+    const region_entry* region = aInput.mCatalogue.FindRegionOfZone(zone.mZone);
+    const std::size_t service = FindPosition(model.mServices, zone.mService);
+    if (region == nullptr || service == model.mServices.size()) {
+      continue;
+    }
+    running[service] += zone.mRunning;
+    const std::size_t position = FindPosition(model.mRegions, region->mName);
+    const std::vector<zone_name>& drained = aInput.mCatalogue.mDrainedZones;
+    const bool isDrained = !model.mIsDraining[position] &&
+                           std::find(drained.begin(), drained.end(), zone.mZone) != drained.end();
+    model.mSlots[service][position] += isDrained ? 0 : zone.mSlots;
+  }
+  for (std::size_t service = 0; service < model.mServices.size(); ++service) {
+    for (std::size_t region = 0; region < regions; ++region) {
+      double& slots = model.mSlots[service][region];
+      const std::pair key{ model.mServices[service], model.mRegions[region] };
+      if (slots > 0) {
+        const auto [place, isNew] = mPresences.try_emplace(key, presence{ slots, aNow, {} });
+        presence& seen = place->second;
+        if (!isNew && seen.mSeenAt + kLossLimit < aNow) {
+          seen.mReturnedAt = aNow;
+        }
+        seen.mSlots = slots;
+        seen.mSeenAt = aNow;
+      } else if (const auto found = mPresences.find(key);
+                 found != mPresences.end() && found->second.mSeenAt + kLossLimit >= aNow) {
+        slots = found->second.mSlots;
+      }
+    }
+  }
+  SetDemand(model, aInput.mDemands, running);
+  return model;
+}
+
+std::vector<bool> shift_controller::FindCold(const steering_model& aModel,
+                                             const number_grid& aShares,
+                                             std::size_t aService,
+                                             instant aNow) const
+{
+  const std::size_t regions = aModel.mRegions.size();
+  std::vector<bool> isCold(regions);
+  for (std::size_t region = 0; region < regions; ++region) {
+    const auto seen = mPresences.find({ aModel.mServices[aService], aModel.mRegions[region] });
+    const bool hasReturned = seen != mPresences.end() && seen->second.mReturnedAt &&
+                             aNow < *seen->second.mReturnedAt + kColdTime;
+    double served = 0;
+    double all = 0;
+    for (std::size_t source = 0; source < regions; ++source) {
+      // The small summand lets sources count alike when no demand is known.
+      const double demand = aModel.mDemand[aService][source] + kNegligible;
+      served += demand * aShares[aModel.GetFlow(aService, source)][region];
+      all += demand;
+    }
+    isCold[region] = hasReturned || served < kWarmShare * all;
+  }
+  return isCold;
+}
+
+bool shift_controller::StartsOrContinues(const steering_model& aModel,
+                                         std::size_t aFlow,
+                                         const number_grid& aPresent,
+                                         const number_grid& aTarget)
+{
+  const std::size_t regions = aModel.mRegions.size();
+  const std::pair key{ aModel.mServices[aFlow / regions], aModel.mRegions[aFlow % regions] };
+  const double distance =
+    CompareRows(aModel, aFlow / regions, aPresent[aFlow], aTarget[aFlow]).mTotal;
+  if (distance >= kLeastShift) {
+    mMoving.insert(key);
+  } else if (distance <= kNegligible) {
+    mMoving.erase(key);
+  }
+  return mMoving.contains(key);
+}
+
+shift_outcome shift_controller::Advance(const shift_input& aInput, instant aNow)
+{
+  const steering_model model = Observe(aInput, aNow);
+  const std::size_t regions = model.mRegions.size();
+  const std::size_t flows = model.mServices.size() * regions;
+  const microseconds sinceLast = mLastStepAt ? aNow - *mLastStepAt : microseconds{ 0 };
+  const auto counted = std::clamp(sinceLast, microseconds{ 0 }, kMaxStep);
+  const double minutes = static_cast<double>(counted.count()) / 1e6 / kCapSeconds;
+  mLastStepAt = aNow;
+  mStartedAt = mStartedAt.value_or(aNow);
+
+  number_grid present(flows, regions);
+  std::vector<bool> isPlanned = ReadPlan(model, aInput.mPlan, present);
+  const number_grid target = ComputeTarget(model, present, kTargetPart);
+  std::vector<std::vector<bool>> isCold;
+  for (std::size_t service = 0; service < model.mServices.size(); ++service) {
+    isCold.push_back(FindCold(model, present, service, aNow));
+  }
+  shift_outcome outcome;
+  outcome.mTarget = WritePlan(model, target, std::vector<bool>(flows, true));
+  outcome.mDrains = ReportDrains(model, aInput.mCatalogue, present, target, isCold, aNow);
+  outcome.mPlan.assign(aInput.mPlan.begin(), aInput.mPlan.end());
+  if (aNow < *mStartedAt + kLossLimit) {
+    return outcome;
+  }
+
+  number_grid next = present;
+  std::vector<flow_step> steps(
+    flows, { std::vector<double>(regions + 1), std::vector<double>(regions + 1) });
+  for (std::size_t flow = 0; flow < flows; ++flow) {
+    const std::size_t service = flow / regions;
+    bool hasSlots = false;
+    for (std::size_t region = 0; region < regions; ++region) {
+      hasSlots = hasSlots || model.HasSlots(service, region);
+    }
+    if (!hasSlots) {
+      continue;
+    }
+    if (!isPlanned[flow]) {
+      isPlanned[flow] = true;
+      std::copy_n(target[flow].begin(), regions, next[flow].begin());
+    } else if (StartsOrContinues(model, flow, present, target)) {
+      steps[flow] = MakeStep(aInput.mCatalogue.mServices[service],
+                             CompareRows(model, service, present[flow], target[flow]),
+                             isCold[service],
+                             minutes);
+    }
+  }
+  LimitGains(model, next, kStepPart, steps);
+  for (std::size_t flow = 0; flow < flows; ++flow) {
+    const double gained = Sum(steps[flow].mGains);
+    const double lost = Sum(steps[flow].mLosses);
+    for (std::size_t region = 0; region < regions && lost > 0; ++region) {
+      const double change =
+        steps[flow].mGains[region] - steps[flow].mLosses[region] * gained / lost;
+      next[flow][region] = std::max(next[flow][region] + change, 0.0);
+    }
+  }
+  outcome.mPlan = WritePlan(model, next, isPlanned);
+  outcome.mIsChanged = !std::equal(
+    outcome.mPlan.begin(), outcome.mPlan.end(), aInput.mPlan.begin(), aInput.mPlan.end());
+  return outcome;
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/routing/steering_model.cpp
@@ -0,0 +1,262 @@
+#include "citronpulley/routing/steering_model.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace citronpulley {
+
+namespace {
+
+/** Demand that stands for none, so that a service without traffic has shares too. */
+constexpr double kLeastDemand = 1e-6;
+/** Times that sources compete again for what proportional cuts left of the same region. */
+constexpr int kPassesPerRank = 3;
+
+template<typename Name>
+std::size_t FindPosition(const std::vector<Name>& aNames, const Name& aName)
+{
+  return static_cast<std::size_t>(std::find(aNames.begin(), aNames.end(), aName) - aNames.begin());
+}
+
+/** Adds the calls that a number of requests of a service makes; the text has no cycles. */
+void AddCalls(const steering_model& aModel,
+              const catalogue& aCatalogue,
+              std::size_t aService,
+              double aCalls,
+              std::span<double> aSums)
+{
+  aSums[aService] += aCalls;
+  for (const service_dependency& dependency : aCatalogue.mServices[aService].mDependencies) {
+    const std::size_t next = FindPosition(aModel.mServices, dependency.mService);
+    if (next < aModel.mServices.size() && dependency.mCallsPerRequest > 0) {
+      AddCalls(aModel, aCatalogue, next, aCalls * dependency.mCallsPerRequest, aSums);
+    }
+  }
+}
+
+/** Room that is left in the regions while a target is filled. */
+class free_room
+{
+public:
+  free_room(const steering_model& aModel, double aPart)
+    : mModel(aModel)
+    , mCapacity(aModel.mCapacity)
+    , mSlotRate(aModel.mSlotRate)
+    , mWantedCapacity(aModel.mRegions.size())
+    , mWantedSlots(aModel.mServices.size(), aModel.mRegions.size())
+  {
+    for (double& capacity : mCapacity) {
+      capacity *= aPart;
+    }
+    for (std::size_t service = 0; service < aModel.mServices.size(); ++service) {
+      for (double& rate : mSlotRate[service]) {
+        rate *= aPart;
+      }
+    }
+  }
+
+  void ClearWanted()
+  {
+    std::fill(mWantedCapacity.begin(), mWantedCapacity.end(), 0);
+    mWantedSlots = number_grid(mModel.mServices.size(), mModel.mRegions.size());
+  }
+
+  void Want(std::size_t aService, std::size_t aRegion, double aRate)
+  {
+    ForEachCall(aService, aRate, [&](std::size_t aCalled, double aCalls) {
+      mWantedCapacity[aRegion] += aCalls;
+      mWantedSlots[aCalled][aRegion] += aCalls;
+    });
+  }
+
+  /** @return part of the wanted rate that fits when all who want it are cut alike */
+  double GetFittingPart(std::size_t aService, std::size_t aRegion) const
+  {
+    const auto getPart = [](double aFree, double aWanted) {
+      // Rounding can leave slightly less than nothing.
+      const double free = std::max(aFree, 0.0);
+      return aWanted <= free ? 1.0 : free / aWanted;
+    };
+    double part = getPart(mCapacity[aRegion], mWantedCapacity[aRegion]);
+    ForEachCall(aService, 1, [&](std::size_t aCalled, double /*aCalls*/) {
+      part = std::min(part, getPart(mSlotRate[aCalled][aRegion], mWantedSlots[aCalled][aRegion]));
+    });
+    return part;
+  }
+
+  void Take(std::size_t aService, std::size_t aRegion, double aRate)
+  {
+    ForEachCall(aService, aRate, [&](std::size_t aCalled, double aCalls) {
+      mCapacity[aRegion] -= aCalls;
+      mSlotRate[aCalled][aRegion] -= aCalls;
+    });
+  }
+
+private:
+  template<typename Visit>
+  void ForEachCall(std::size_t aService, double aRate, const Visit& aVisit) const
+  {
+    const std::span<const double> calls = mModel.mCalls[aService];
+    for (std::size_t called = 0; called < calls.size(); ++called) {
+      if (calls[called] > 0) {
+        aVisit(called, aRate * calls[called]);
+      }
+    }
+  }
+
+  const steering_model& mModel;
+  std::vector<double> mCapacity;
+  number_grid mSlotRate;
+  std::vector<double> mWantedCapacity;
+  number_grid mWantedSlots;
+};
+
+} // namespace
+
+bool steering_model::HasSlots(std::size_t aService, std::size_t aRegion) const
+{
+  for (std::size_t called = 0; called < mServices.size(); ++called) {
+    if (mCalls[aService][called] > 0 && mSlots[called][aRegion] <= 0) {
+      return false;
+    }
+  }
+  return true;
+}
+
+steering_model MakeSteeringModel(const catalogue& aCatalogue)
+{
+  steering_model model;
+  for (const service_entry& service : aCatalogue.mServices) {
+    model.mServices.push_back(service.mName);
+  }
+  for (const region_entry& region : aCatalogue.mRegions) {
+    const auto isDrained = [&](const zone_name& aZone) {
+      return std::count(aCatalogue.mDrainedZones.begin(), aCatalogue.mDrainedZones.end(), aZone) >
+             0;
+    };
+    model.mRegions.push_back(region.mName);
+    model.mCapacity.push_back(region.mCapacityPerSecond);
+    model.mIsDraining.push_back(std::count(aCatalogue.mDrainedRegions.begin(),
+                                           aCatalogue.mDrainedRegions.end(),
+                                           region.mName) > 0 ||
+                                std::all_of(region.mZones.begin(), region.mZones.end(), isDrained));
+  }
+  const std::size_t services = model.mServices.size();
+  const std::size_t regions = model.mRegions.size();
+  for (std::size_t source = 0; source < regions; ++source) {
+    std::vector<std::size_t>& order = model.mNearest.emplace_back(regions);
+    std::iota(order.begin(), order.end(), 0);
+    const auto distance = [&](std::size_t aRegion) {
+      return aRegion == source
+               ? -1
+               : aCatalogue.GetOneWayMilliseconds(model.mRegions[source], model.mRegions[aRegion]);
+    };
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t aLeft, std::size_t aRight) {
+      return distance(aLeft) < distance(aRight);
+    });
+  }
+  model.mCalls = number_grid(services, services);
+  model.mSlots = number_grid(services, regions);
+  model.mSlotRate = number_grid(services, regions);
+  model.mDemand = number_grid(services, regions);
+  for (std::size_t service = 0; service < services; ++service) {
+    AddCalls(model, aCatalogue, service, 1, model.mCalls[service]);
+  }
+  return model;
+}
+
+void SetDemand(steering_model& aModel,
+               std::span<const region_demand> aDemands,
+               std::span<const double> aRunning)
+{
+  const std::size_t services = aModel.mServices.size();
+  for (const region_demand& demand : aDemands) {
+    const std::size_t service = FindPosition(aModel.mServices, demand.mService);
+    const std::size_t source = FindPosition(aModel.mRegions, demand.mSource);
+    if (service < services && source < aModel.mRegions.size() && demand.mRequestsPerSecond > 0) {
+      aModel.mDemand[service][source] += demand.mRequestsPerSecond;
+    }
+  }
+  std::vector<double> totals(services);
+  for (std::size_t service = 0; service < services; ++service) {
+    const std::span<const double> demand = aModel.mDemand[service];
+    const double sum = std::accumulate(demand.begin(), demand.end(), 0.0);
+    for (std::size_t called = 0; called < services; ++called) {
+      totals[called] += sum * aModel.mCalls[service][called];
+    }
+  }
+  for (std::size_t service = 0; service < services; ++service) {
+    for (std::size_t region = 0; region < aModel.mRegions.size(); ++region) {
+      const double slots = aModel.mSlots[service][region];
+      const bool isLimited = aRunning[service] >= 1 && totals[service] > 0;
+      const double perSlot = isLimited ? totals[service] / aRunning[service] : 1e9;
+      aModel.mSlotRate[service][region] = slots * perSlot;
+    }
+  }
+}
+
+std::vector<double> ComputeLoads(const steering_model& aModel, const number_grid& aShares)
+{
+  std::vector<double> loads(aModel.mRegions.size());
+  for (std::size_t service = 0; service < aModel.mServices.size(); ++service) {
+    const std::span<const double> calls = aModel.mCalls[service];
+    const double cost = std::accumulate(calls.begin(), calls.end(), 0.0);
+    for (std::size_t source = 0; source < loads.size(); ++source) {
+      const std::span<const double> shares = aShares[aModel.GetFlow(service, source)];
+      for (std::size_t region = 0; region < loads.size(); ++region) {
+        loads[region] += aModel.mDemand[service][source] * cost * shares[region];
+      }
+    }
+  }
+  return loads;
+}
+
+number_grid ComputeTarget(const steering_model& aModel, const number_grid& aPresent, double aPart)
+{
+  const std::size_t regions = aModel.mRegions.size();
+  const std::size_t flows = aModel.mServices.size() * regions;
+  number_grid target(flows, regions);
+  std::vector<double> left(flows, 1.0);
+  free_room room(aModel, aPart);
+  const auto getDemand = [&](std::size_t aFlow) {
+    return std::max(aModel.mDemand[aFlow / regions][aFlow % regions], kLeastDemand);
+  };
+  // Lets all flows compete for the region of one rank of their preferences.
+  const auto fill = [&](std::size_t aRank, bool aIsDraining) {
+    const auto getWish = [&](std::size_t aFlow) {
+      const std::size_t region = aModel.mNearest[aFlow % regions][aRank];
+      if (aModel.mIsDraining[region] != aIsDraining || !aModel.HasSlots(aFlow / regions, region)) {
+        return 0.0;
+      }
+      const double most = aIsDraining ? aPresent[aFlow][region] - target[aFlow][region] : 1.0;
+      return std::max(std::min(left[aFlow], most), 0.0);
+    };
+    room.ClearWanted();
+    for (std::size_t flow = 0; flow < flows; ++flow) {
+      room.Want(
+        flow / regions, aModel.mNearest[flow % regions][aRank], getWish(flow) * getDemand(flow));
+    }
+    for (std::size_t flow = 0; flow < flows; ++flow) {
+      const std::size_t region = aModel.mNearest[flow % regions][aRank];
+      const double share = getWish(flow) * room.GetFittingPart(flow / regions, region);
+      target[flow][region] += share;
+      left[flow] -= share;
+    }
+  };
+  for (const bool isDraining : { false, true }) {
+    for (std::size_t rank = 0; rank < regions; ++rank) {
+      for (int pass = 0; pass < kPassesPerRank; ++pass) {
+        const number_grid before = target;
+        fill(rank, isDraining);
+        for (std::size_t flow = 0; flow < flows; ++flow) {
+          const std::size_t region = aModel.mNearest[flow % regions][rank];
+          const double taken = target[flow][region] - before[flow][region];
+          room.Take(flow / regions, region, taken * getDemand(flow));
+        }
+      }
+    }
+  }
+  return target;
+}
+
+} // namespace citronpulley
