--- a/src/citronpulley/node/entry_node.cpp
+++ b/src/citronpulley/node/entry_node.cpp
@@ -256,25 +256,23 @@
       query.mNearestRegion = content->mRegions[*site].mName;
     }
   }
-  std::vector<vm_record> healthy;
+  std::vector<const vm_record*> healthy;
   if (!mSelf.mIsStopping) {
-    healthy.push_back(mSelf);
+    healthy.push_back(&mSelf);
   }
   for (const auto& [name, vm] : mDirectory.GetVms()) {
     const bool isLocal = vm.mZone == mSelf.mZone;
     if (name != mSelf.mVm && !vm.mIsStopping &&
         (!isLocal || mDirectory.IsAlive(name, aNow.mMonotonic))) {
-      healthy.push_back(vm);
+      healthy.push_back(&vm);
     }
   }
-  const std::vector<vm_record> vms =
-    OrderEntryVms(std::move(healthy), query, content, kMaxNamedVmsPerZone);
   boost::json::array list;
-  for (const vm_record& vm : vms) {
-    list.push_back({ { "vm", vm.mVm.mValue },
-                     { "address", vm.mAddress + ":" + std::to_string(vm.mHttpPort) },
-                     { "zone", vm.mZone.mValue },
-                     { "region", vm.mRegion.mValue } });
+  for (const vm_record* vm : OrderEntryVms(healthy, query, content, kMaxNamedVmsPerZone)) {
+    list.push_back({ { "vm", vm->mVm.mValue },
+                     { "address", vm->mAddress + ":" + std::to_string(vm->mHttpPort) },
+                     { "zone", vm->mZone.mValue },
+                     { "region", vm->mRegion.mValue } });
   }
   return MakeJsonAnswer(
     200,
--- a/src/citronpulley/routing/entry_vm_order.h
+++ b/src/citronpulley/routing/entry_vm_order.h
@@ -5,6 +5,7 @@
 #include "citronpulley/wire/poll_messages.h"
 
 #include <cstddef>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -30,12 +31,12 @@
  * @param aVms healthy VMs in any order
  * @param aCatalogue text with the latencies; null before the first one
  * @param aMaxPerZone most VMs of one zone in the answer
- * @return the first VMs of each zone in order
+ * @return the first VMs of each zone in order; pointers to the given records
  */
-std::vector<vm_record> OrderEntryVms(std::vector<vm_record> aVms,
-                                     const entry_vm_query& aQuery,
-                                     const catalogue* aCatalogue,
-                                     std::size_t aMaxPerZone);
+std::vector<const vm_record*> OrderEntryVms(std::span<const vm_record* const> aVms,
+                                            const entry_vm_query& aQuery,
+                                            const catalogue* aCatalogue,
+                                            std::size_t aMaxPerZone);
 
 } // namespace citronpulley
 
--- a/tests/routing/entry_vm_order_test.cpp
+++ b/tests/routing/entry_vm_order_test.cpp
@@ -1,5 +1,7 @@
 #include "citronpulley/routing/entry_vm_order.h"
 
+#include "citronpulley/node/entry_node.h"
+
 #include <algorithm>
 #include <set>
 #include <string>
@@ -27,6 +29,20 @@
   return fleet;
 }
 
+std::vector<vm_record> Order(const std::vector<vm_record>& aFleet, const entry_vm_query& aQuery)
+{
+  std::vector<const vm_record*> vms;
+  vms.reserve(aFleet.size());
+  for (const vm_record& vm : aFleet) {
+    vms.push_back(&vm);
+  }
+  std::vector<vm_record> order;
+  for (const vm_record* vm : OrderEntryVms(vms, aQuery, nullptr, 3)) {
+    order.push_back(*vm);
+  }
+  return order;
+}
+
 entry_vm_query MakeQuery(const char* aClient, const char* aNearest)
 {
   return { aClient, region_name(aNearest), zone_name("north-b") };
@@ -39,10 +55,10 @@
 /** Guards against callers that are sent past their nearest region or lose the other zones. */
 TEST(entry_vm_order, puts_the_nearest_region_first_and_keeps_each_zone)
 {
-  const auto own = OrderEntryVms(MakeFleet(), MakeQuery("10.0.0.1", "north"), nullptr, 3);
+  const auto own = Order(MakeFleet(), MakeQuery("10.0.0.1", "north"));
   LONGS_EQUAL(12, own.size());
   STRCMP_EQUAL("north-b", own.front().mZone.mValue.c_str());
-  const auto other = OrderEntryVms(MakeFleet(), MakeQuery("10.0.0.1", "south"), nullptr, 3);
+  const auto other = Order(MakeFleet(), MakeQuery("10.0.0.1", "south"));
   LONGS_EQUAL(12, other.size());
   STRCMP_EQUAL("south", other.front().mRegion.mValue.c_str());
   STRCMP_EQUAL("south", other[5].mRegion.mValue.c_str());
@@ -57,9 +73,41 @@
   for (int client = 0; client < 50; ++client) {
     const std::string address = "10.0.0." + std::to_string(client);
     const auto query = MakeQuery(address.c_str(), "north");
-    const auto order = OrderEntryVms(MakeFleet(), query, nullptr, 3);
-    CHECK(order == OrderEntryVms(reversed, query, nullptr, 3));
+    const auto order = Order(MakeFleet(), query);
+    CHECK(order == Order(reversed, query));
     first.insert(order.front().mVm);
   }
   LONGS_EQUAL(4, first.size());
 }
+
+/** Guards against client blocks that the answer of an entry VM ignores. */
+TEST(entry_vm_order, entry_vm_answers_with_the_region_of_the_client_block_first)
+{
+  const std::vector<vm_record> fleet = MakeFleet();
+  entry_node node(fleet.front(), { vm_name("c1") }, "secret", 1);
+  node_actions actions;
+  node.Handle(timer_ticked{}, {}, actions);
+  view_delta delta{ 0, 1, true };
+  delta.mConfiguration = configuration_record{ 1, R"(deployment = "t"
+client_blocks = [{ network = "10.7.0.0/16", region = "south" }]
+regions = [{ name = "north", zones = ["north-a", "north-b"], capacity_per_second = 1 },
+           { name = "south", zones = ["south-a", "south-b"], capacity_per_second = 1 }]
+[[services]]
+name = "s"
+shift_cap_percent_per_minute = 1
+routes = [{ path = "/" }]
+)" };
+  node.Handle(
+    peer_message_received{ vm_name("c1"), poll_reply{ 1, EncodeDelta(delta), fleet, {}, {} } },
+    {},
+    actions);
+  const auto askFrom = [&](const char* aClient) {
+    http_request_received request{ 1, "GET", "/v1/entry-vms", {}, "", aClient };
+    node.Handle(request, {}, actions);
+    const std::string body = std::get<reply_to_client>(actions.back()).mAnswer.mBody;
+    return body.find("\"south\"") < body.find("\"north\"");
+  };
+  CHECK(askFrom("10.7.1.1"));
+  CHECK_FALSE(askFrom("10.8.1.1"));
+  CHECK_FALSE(askFrom("not an address"));
+}
