--- /dev/null
+++ b/src/citronpulley/storage/durable_log.cpp
@@ -0,0 +1,158 @@
+#include "citronpulley/storage/durable_log.h"
+
+#include "citronpulley/storage/record_codec.h"
+
+#include <cassert>
+#include <utility>
+
+namespace citronpulley {
+
+namespace {
+
+error MakeDamage(const std::string& aPath, std::size_t aOffset)
+{
+  return MakeError(error_code::StorageDamaged,
+                   step::Recover,
+                   aPath,
+                   "a record is damaged at offset " + std::to_string(aOffset));
+}
+
+} // namespace
+
+durable_log::durable_log(file_system& aFiles, std::string aFolder)
+  : mFiles(aFiles)
+  , mFolder(std::move(aFolder))
+  , mPath(mFolder + "/" + kFileName)
+{
+}
+
+result<durable_log::content> durable_log::Recover()
+{
+  const result<std::string> file = mFiles.Read(mPath);
+  if (!file) {
+    return file.GetError();
+  }
+  const std::string& bytes = file.Get();
+  const std::optional<file_record> start = ReadRecord(bytes, 0);
+  // The first record is written by an atomic replacement, so it is never torn.
+  if (!start || start->mKind != record_kind::LogStart) {
+    return MakeDamage(mPath, 0);
+  }
+  content found{ start->mIndex, start->mTerm, {} };
+  mStartIndex = start->mIndex;
+  mOffsets.clear();
+  std::size_t offset = kRecordHeaderSize;
+  term_number term = start->mTerm;
+  while (offset < bytes.size()) {
+    const std::optional<file_record> record = ReadRecord(bytes, offset);
+    if (!record) {
+      if (HasRecordAfter(bytes, offset)) {
+        return MakeDamage(mPath, offset);
+      }
+      break;
+    }
+    if (record->mIndex != GetLastIndex() + 1 || record->mTerm < term) {
+      return MakeDamage(mPath, offset);
+    }
+    term = record->mTerm;
+    found.mEntries.push_back({ record->mIndex,
+                               record->mTerm,
+                               std::string(record->mPayload),
+                               record->mKind == record_kind::Membership });
+    mOffsets.push_back(offset);
+    offset += kRecordHeaderSize + record->mPayload.size();
+  }
+  mSize = offset;
+  if (offset < bytes.size()) {
+    if (status cut = Note(mFiles.Truncate(mPath, offset)); !cut) {
+      return cut.GetError();
+    }
+  }
+  // Entries that were written but not synced before a crash of the process count as stored now.
+  if (status synced = Sync(); !synced) {
+    return synced.GetError();
+  }
+  return found;
+}
+
+status durable_log::Reset(log_index aStartIndex,
+                          term_number aStartTerm,
+                          const std::vector<log_entry>& aEntries)
+{
+  if (mIsFailed) {
+    return Note(std::monostate{});
+  }
+  std::string bytes;
+  AppendRecord({ record_kind::LogStart, aStartIndex, aStartTerm, {} }, 0, bytes);
+  mOffsets.clear();
+  for (const log_entry& entry : aEntries) {
+    mOffsets.push_back(bytes.size());
+    bytes += EncodeEntry(entry, bytes.size());
+  }
+  mStartIndex = aStartIndex;
+  mSize = bytes.size();
+  return Note(ReplaceFile(mFiles, mFolder, kFileName, bytes));
+}
+
+status durable_log::Append(const std::vector<log_entry>& aEntries)
+{
+  if (mIsFailed || aEntries.empty()) {
+    return Note(std::monostate{});
+  }
+  const log_index first = aEntries.front().mIndex;
+  assert(first > mStartIndex && first <= GetLastIndex() + 1);
+  if (first <= GetLastIndex()) {
+    mOffsets.resize(first - mStartIndex);
+    mSize = mOffsets.back();
+    mOffsets.pop_back();
+    if (status cut = Note(mFiles.Truncate(mPath, mSize)); !cut) {
+      return cut;
+    }
+    // Without this sync a crash could leave new records followed by old ones.
+    if (status synced = Sync(); !synced) {
+      return synced;
+    }
+  }
+  std::string bytes;
+  for (const log_entry& entry : aEntries) {
+    mOffsets.push_back(mSize + bytes.size());
+    bytes += EncodeEntry(entry, mSize + bytes.size());
+  }
+  mSize += bytes.size();
+  return Note(mFiles.Append(mPath, bytes));
+}
+
+status durable_log::Sync()
+{
+  if (mIsFailed) {
+    return Note(std::monostate{});
+  }
+  return Note(mFiles.SyncFile(mPath));
+}
+
+std::string durable_log::EncodeEntry(const log_entry& aEntry, std::uint64_t aOffset) const
+{
+  std::string bytes;
+  AppendRecord({ aEntry.mIsMembership ? record_kind::Membership : record_kind::Command,
+                 aEntry.mIndex,
+                 aEntry.mTerm,
+                 aEntry.mPayload },
+               aOffset,
+               bytes);
+  return bytes;
+}
+
+status durable_log::Note(status aStatus)
+{
+  if (!aStatus) {
+    mIsFailed = true;
+    return aStatus;
+  }
+  if (mIsFailed) {
+    return MakeError(
+      error_code::StorageFailed, step::Store, mPath, "an earlier write or sync of the file failed");
+  }
+  return aStatus;
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/storage/file_system.cpp
@@ -0,0 +1,27 @@
+#include "citronpulley/storage/file_system.h"
+
+namespace citronpulley {
+
+status ReplaceFile(file_system& aFiles,
+                   const std::string& aFolder,
+                   const std::string& aName,
+                   std::string_view aBytes)
+{
+  const std::string target = aFolder + "/" + aName;
+  const std::string draft = target + ".new";
+  if (status done = aFiles.Remove(draft); !done) {
+    return done;
+  }
+  if (status done = aFiles.Append(draft, aBytes); !done) {
+    return done;
+  }
+  if (status done = aFiles.SyncFile(draft); !done) {
+    return done;
+  }
+  if (status done = aFiles.Replace(draft, target); !done) {
+    return done;
+  }
+  return aFiles.SyncDirectory(aFolder);
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/storage/record_codec.cpp
@@ -0,0 +1,87 @@
+#include "citronpulley/storage/record_codec.h"
+
+#include <xxhash.h>
+
+namespace citronpulley {
+
+namespace {
+
+constexpr std::string_view kMagic = "CPR1";
+constexpr std::size_t kLengthOffset = 4;
+constexpr std::size_t kChecksumOffset = 8;
+constexpr std::size_t kKindOffset = 16;
+constexpr std::size_t kIndexOffset = 24;
+constexpr std::size_t kTermOffset = 32;
+constexpr unsigned kByteBits = 8;
+
+} // namespace
+
+void AppendNumber(std::uint64_t aNumber, std::size_t aSize, std::string& aBytes)
+{
+  for (std::size_t index = 0; index < aSize; ++index) {
+    aBytes.push_back(static_cast<char>(aNumber >> (kByteBits * index)));
+  }
+}
+
+std::uint64_t ReadNumber(std::string_view aBytes, std::size_t aSize) noexcept
+{
+  std::uint64_t number = 0;
+  for (std::size_t index = 0; index < aSize; ++index) {
+    number |= static_cast<std::uint64_t>(static_cast<unsigned char>(aBytes[index]))
+              << (kByteBits * index);
+  }
+  return number;
+}
+
+void AppendRecord(const file_record& aRecord, std::uint64_t aOffset, std::string& aBytes)
+{
+  std::string body;
+  body.reserve(kRecordHeaderSize + aRecord.mPayload.size());
+  AppendNumber(static_cast<std::uint64_t>(aRecord.mKind), sizeof(std::uint64_t), body);
+  AppendNumber(aRecord.mIndex, sizeof(std::uint64_t), body);
+  AppendNumber(aRecord.mTerm, sizeof(std::uint64_t), body);
+  body += aRecord.mPayload;
+  aBytes += kMagic;
+  AppendNumber(aRecord.mPayload.size(), sizeof(std::uint32_t), aBytes);
+  AppendNumber(
+    XXH3_64bits_withSeed(body.data(), body.size(), aOffset), sizeof(std::uint64_t), aBytes);
+  aBytes += body;
+}
+
+std::optional<file_record> ReadRecord(std::string_view aContent, std::size_t aOffset) noexcept
+{
+  if (aOffset > aContent.size() || aContent.size() - aOffset < kRecordHeaderSize) {
+    return std::nullopt;
+  }
+  const std::string_view rest = aContent.substr(aOffset);
+  if (!rest.starts_with(kMagic)) {
+    return std::nullopt;
+  }
+  const std::uint64_t length = ReadNumber(rest.substr(kLengthOffset), sizeof(std::uint32_t));
+  if (rest.size() - kRecordHeaderSize < length) {
+    return std::nullopt;
+  }
+  const std::string_view body = rest.substr(kKindOffset, kRecordHeaderSize - kKindOffset + length);
+  const std::uint64_t checksum = ReadNumber(rest.substr(kChecksumOffset), sizeof(std::uint64_t));
+  if (XXH3_64bits_withSeed(body.data(), body.size(), aOffset) != checksum) {
+    return std::nullopt;
+  }
+  return file_record{ static_cast<record_kind>(
+                        ReadNumber(rest.substr(kKindOffset), sizeof(std::uint64_t))),
+                      ReadNumber(rest.substr(kIndexOffset), sizeof(std::uint64_t)),
+                      ReadNumber(rest.substr(kTermOffset), sizeof(std::uint64_t)),
+                      rest.substr(kRecordHeaderSize, length) };
+}
+
+bool HasRecordAfter(std::string_view aContent, std::size_t aOffset) noexcept
+{
+  for (std::size_t offset = aContent.find(kMagic, aOffset + 1); offset != std::string_view::npos;
+       offset = aContent.find(kMagic, offset + 1)) {
+    if (ReadRecord(aContent, offset)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/tests/storage/member_storage_test.cpp
@@ -0,0 +1,190 @@
+#include "citronpulley/storage/storage.h"
+#include "storage/memory_file_system.h"
+
+#include <unistd.h>
+
+#include <filesystem>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronpulley;
+
+namespace {
+
+constexpr const char* kFolder = "data";
+constexpr const char* kLogPath = "data/log";
+constexpr std::size_t kHeaderSize = 40;
+
+log_entry MakeEntry(log_index aIndex, term_number aTerm)
+{
+  return { aIndex, aTerm, "entry " + std::to_string(aIndex), false };
+}
+
+template<typename Value>
+bool IsOk(const result<Value>& aResult)
+{
+  return static_cast<bool>(aResult);
+}
+
+} // namespace
+
+TEST_GROUP(storage)
+{
+  memory_file_system mFiles;
+  member_storage mStorage{ mFiles, kFolder };
+
+  void setup() override
+  {
+    CHECK(IsOk(mStorage.Open(member_id{ 7 })));
+  }
+
+  static bool Store(member_storage & aStorage, storage_batch aBatch)
+  {
+    return static_cast<bool>(aStorage.Store({ std::move(aBatch) }));
+  }
+
+  result<recovered_member> Reopen()
+  {
+    return member_storage(mFiles, kFolder).Open(member_id{ 8 });
+  }
+};
+
+/** Guards against a data folder that loses its identity, vote or entries in a crash. */
+TEST(storage, keeps_all_that_was_reported_as_stored)
+{
+  CHECK(Store(mStorage, { 1, vote_record{ 3, member_id{ 9 } }, {}, { MakeEntry(1, 3) } }));
+  CHECK(Store(mStorage, { 2, {}, {}, { MakeEntry(2, 3), MakeEntry(3, 3) } }));
+  mFiles.Crash();
+  const auto found = Reopen();
+  CHECK(IsOk(found));
+  LONGS_EQUAL(7, found.Get().mMember.mValue);
+  CHECK(found.Get().mVote == (vote_record{ 3, member_id{ 9 } }));
+  LONGS_EQUAL(3, found.Get().mEntries.size());
+  STRCMP_EQUAL("entry 3", found.Get().mEntries[2].mPayload.c_str());
+}
+
+/** Guards against a start that fails, or takes half an entry, after a torn write. */
+TEST(storage, cuts_off_a_torn_tail_of_any_length)
+{
+  const std::size_t recordSize = kHeaderSize + MakeEntry(1, 1).mPayload.size();
+  for (std::size_t kept = 0; kept < recordSize; ++kept) {
+    memory_file_system files;
+    member_storage storage(files, kFolder);
+    CHECK(IsOk(storage.Open(member_id{ 7 })));
+    CHECK(Store(storage, { 1, {}, {}, { MakeEntry(1, 1) } }));
+    files.FailSyncs(1);
+    CHECK_FALSE(Store(storage, { 2, {}, {}, { MakeEntry(2, 1) } }));
+    files.Crash(kept);
+    member_storage again(files, kFolder);
+    const auto found = again.Open(member_id{ 8 });
+    CHECK(IsOk(found));
+    LONGS_EQUAL(1, found.Get().mEntries.size());
+    CHECK(Store(again, { 1, {}, {}, { MakeEntry(2, 2) } }));
+    files.Crash();
+    LONGS_EQUAL(2, member_storage(files, kFolder).Open(member_id{ 9 }).Get().mEntries.size());
+  }
+}
+
+/** Guards against serving from a log of which a synced entry was lost to damage. */
+TEST(storage, refuses_a_damaged_record_that_is_followed_by_a_valid_one)
+{
+  CHECK(Store(mStorage, { 1, {}, {}, { MakeEntry(1, 1), MakeEntry(2, 1), MakeEntry(3, 1) } }));
+  const std::size_t recordSize = kHeaderSize + MakeEntry(1, 1).mPayload.size();
+  for (std::size_t offset = 0; offset < kHeaderSize + 2 * recordSize; ++offset) {
+    mFiles.Flip(kLogPath, offset);
+    const auto found = Reopen();
+    CHECK_FALSE(IsOk(found));
+    CHECK(found.GetError().mCode == make_error_code(error_code::StorageDamaged));
+    STRCMP_EQUAL(kLogPath, found.GetError().mPeer.c_str());
+    const std::size_t start =
+      offset < kHeaderSize ? 0 : offset - (offset - kHeaderSize) % recordSize;
+    STRCMP_EQUAL(("a record is damaged at offset " + std::to_string(start)).c_str(),
+                 found.GetError().mMessage.c_str());
+    mFiles.Flip(kLogPath, offset);
+  }
+}
+
+/** Guards against a damaged vote, identity or snapshot that is taken for none. */
+TEST(storage, refuses_damage_of_every_other_file)
+{
+  CHECK(Store(mStorage, { 1, {}, snapshot_record{ 5, 2, "members", "state" }, {} }));
+  for (const char* path : { "data/member", "data/vote", "data/snapshot" }) {
+    mFiles.Flip(path, 20);
+    const auto found = Reopen();
+    CHECK_FALSE(IsOk(found));
+    CHECK(found.GetError().mCode == make_error_code(error_code::StorageDamaged));
+    STRCMP_EQUAL(path, found.GetError().mPeer.c_str());
+    mFiles.Flip(path, 20);
+  }
+  CHECK(IsOk(mFiles.Remove(kLogPath)));
+  CHECK_FALSE(IsOk(Reopen()));
+}
+
+/** Guards against reporting entries as stored after the kernel has dropped their dirty pages. */
+TEST(storage, is_unusable_after_a_failed_sync)
+{
+  mFiles.FailSyncs(1);
+  CHECK_FALSE(Store(mStorage, { 1, {}, {}, { MakeEntry(1, 1) } }));
+  CHECK_FALSE(Store(mStorage, { 2, {}, {}, { MakeEntry(2, 1) } }));
+  CHECK_FALSE(Store(mStorage, { 3, {}, {}, {} }));
+}
+
+/** Guards against old entries that come back behind the new ones that replaced them. */
+TEST(storage, replaces_conflicting_entries_durably)
+{
+  CHECK(Store(mStorage, { 1, {}, {}, { MakeEntry(1, 1), MakeEntry(2, 1), MakeEntry(3, 1) } }));
+  CHECK(Store(mStorage, { 2, {}, {}, { MakeEntry(2, 2) } }));
+  mFiles.Crash();
+  const auto found = Reopen();
+  CHECK(IsOk(found));
+  LONGS_EQUAL(2, found.Get().mEntries.size());
+  LONGS_EQUAL(2, found.Get().mEntries[1].mTerm);
+}
+
+/** Guards against a crash between the files of a compaction that loses or repeats entries. */
+TEST(storage, joins_a_snapshot_with_the_log_after_a_crash_between_them)
+{
+  CHECK(Store(mStorage, { 1, {}, {}, { MakeEntry(1, 1), MakeEntry(2, 1), MakeEntry(3, 1) } }));
+  CHECK(IsOk(snapshot_store(mFiles, kFolder).Save({ 2, 1, "members", "state" })));
+  mFiles.Crash();
+  const auto found = Reopen();
+  CHECK(IsOk(found));
+  STRCMP_EQUAL("state", found.Get().mSnapshot->mState.c_str());
+  LONGS_EQUAL(1, found.Get().mEntries.size());
+  LONGS_EQUAL(3, found.Get().mEntries[0].mIndex);
+  CHECK(Store(mStorage, { 2, {}, snapshot_record{ 9, 4, "members", "newer" }, {} }));
+  CHECK(Reopen().Get().mEntries.empty());
+}
+
+/** Guards against one sync per entry, which would limit the group to the disk's sync rate. */
+TEST(storage, syncs_once_for_waiting_batches)
+{
+  const int before = mFiles.CountSyncs();
+  CHECK(IsOk(
+    mStorage.Store({ { 1, {}, {}, { MakeEntry(1, 1) } }, { 2, {}, {}, { MakeEntry(2, 1) } } })));
+  LONGS_EQUAL(1, mFiles.CountSyncs() - before);
+}
+
+/** Guards against two processes that write one data folder. */
+TEST(storage, locks_a_real_folder_and_reads_it_again)
+{
+  const std::string folder = (std::filesystem::temp_directory_path() /
+                              ("citronpulley_storage_" + std::to_string(::getpid())))
+                               .string();
+  {
+    posix_file_system files;
+    member_storage storage(files, folder);
+    CHECK(IsOk(storage.Open(member_id{ 7 })));
+    CHECK(Store(storage, { 1, vote_record{ 1, {} }, {}, { MakeEntry(1, 1), MakeEntry(2, 1) } }));
+    CHECK(Store(storage, { 2, {}, {}, { MakeEntry(2, 2) } }));
+    posix_file_system others;
+    CHECK_FALSE(IsOk(member_storage(others, folder).Open(member_id{ 8 })));
+  }
+  posix_file_system files;
+  const auto found = member_storage(files, folder).Open(member_id{ 8 });
+  CHECK(IsOk(found));
+  LONGS_EQUAL(7, found.Get().mMember.mValue);
+  LONGS_EQUAL(2, found.Get().mEntries.size());
+  LONGS_EQUAL(2, found.Get().mEntries[1].mTerm);
+  std::filesystem::remove_all(folder);
+}
--- /dev/null
+++ b/tests/storage/memory_file_system.h
@@ -0,0 +1,131 @@
+#ifndef CITRONPULLEY_TESTS_STORAGE_MEMORY_FILE_SYSTEM_H
+#define CITRONPULLEY_TESTS_STORAGE_MEMORY_FILE_SYSTEM_H
+
+#include "citronpulley/storage/file_system.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace citronpulley {
+
+/** File system in memory with the losses of a real one at a crash. */
+class memory_file_system : public file_system
+{
+public:
+  result<std::string> Read(const std::string& aPath) override
+  {
+    const auto found = mNames.find(aPath);
+    if (found == mNames.end()) {
+      return MakeError(error_code::NotFound, step::Store, aPath, "no such file");
+    }
+    return found->second->mContent;
+  }
+
+  status Append(const std::string& aPath, std::string_view aBytes) override
+  {
+    Get(aPath).mContent += aBytes;
+    return std::monostate{};
+  }
+
+  status Truncate(const std::string& aPath, std::uint64_t aSize) override
+  {
+    Get(aPath).mContent.resize(aSize);
+    return std::monostate{};
+  }
+
+  status Replace(const std::string& aFrom, const std::string& aTo) override
+  {
+    mNames[aTo] = mNames.at(aFrom);
+    mNames.erase(aFrom);
+    return std::monostate{};
+  }
+
+  status Remove(const std::string& aPath) override
+  {
+    mNames.erase(aPath);
+    return std::monostate{};
+  }
+
+  status SyncFile(const std::string& aPath) override
+  {
+    ++mSyncs;
+    if (mFailingSyncs > 0) {
+      --mFailingSyncs;
+      return MakeError(error_code::StorageFailed, step::Store, aPath, "the sync failed");
+    }
+    file& synced = Get(aPath);
+    synced.mSynced = synced.mContent;
+    return std::monostate{};
+  }
+
+  status SyncDirectory(const std::string& /*aPath*/) override
+  {
+    mSyncedNames = mNames;
+    return std::monostate{};
+  }
+
+  result<std::vector<std::string>> List(const std::string& aPath) override
+  {
+    std::vector<std::string> names;
+    for (const auto& [path, content] : mNames) {
+      if (path.starts_with(aPath + "/")) {
+        names.push_back(path.substr(aPath.size() + 1));
+      }
+    }
+    return names;
+  }
+
+  status Lock(const std::string& /*aPath*/) override { return std::monostate{}; }
+
+  /** Loses what was not synced, but for the first bytes that were appended after each sync. */
+  void Crash(std::size_t aKeptBytes = 0)
+  {
+    mNames = mSyncedNames;
+    for (auto& [path, content] : mNames) {
+      if (!content->mContent.starts_with(content->mSynced)) {
+        content->mContent = content->mSynced;
+      }
+      const std::size_t size = content->mSynced.size() + aKeptBytes;
+      content->mContent.resize(std::min(content->mContent.size(), size));
+    }
+  }
+
+  /** Inverts one bit of a file, in what was synced too. */
+  void Flip(const std::string& aPath, std::size_t aOffset)
+  {
+    file& damaged = Get(aPath);
+    damaged.mContent[aOffset] = static_cast<char>(damaged.mContent[aOffset] ^ 1);
+    damaged.mSynced = damaged.mContent;
+  }
+
+  void FailSyncs(int aCount) { mFailingSyncs = aCount; }
+
+  int CountSyncs() const { return mSyncs; }
+
+private:
+  struct file
+  {
+    std::string mContent;
+    std::string mSynced;
+  };
+
+  file& Get(const std::string& aPath)
+  {
+    std::shared_ptr<file>& place = mNames[aPath];
+    if (place == nullptr) {
+      place = std::make_shared<file>();
+    }
+    return *place;
+  }
+
+  std::map<std::string, std::shared_ptr<file>> mNames;
+  std::map<std::string, std::shared_ptr<file>> mSyncedNames;
+  int mFailingSyncs = 0;
+  int mSyncs = 0;
+};
+
+} // namespace citronpulley
+
+#endif
