Replicate the control state among the control VMs

Ruled out: a group that forms itself from the setting control_vms when folders are empty (a VM with a lost folder could take part in forming a second group); answering polls on followers from the applied state alone (a withdrawn key could be served until the follower hears of it).

Change: control_replica proposes commands, applies them when committed and shares read rounds; control_node answers operators and entry VMs only then, polls after a read index on any member, and lends rates only on a confirmed leader, whose ledgers start empty in each term. Control VMs exchange fleet reports each 400 ms.

--- a/src/citronpulley/node/control_node.cpp
+++ b/src/citronpulley/node/control_node.cpp
@@ -2,8 +2,8 @@
 
 #include "citronpulley/base/overloaded.h"
 #include "citronpulley/node/caller_frame.h"
-#include "citronpulley/node/operator_api.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace citronpulley {
@@ -18,29 +18,70 @@
 constexpr microseconds kLeaseMargin{ 250'000 };
 /** Part of a region's capacity that is granted; the rest is the static share of cut-off zones. */
 constexpr double kGrantedCapacity = 0.9;
+constexpr microseconds kReportInterval{ 400'000 };
 
 } // namespace
 
-control_node::control_node(vm_name aSelf,
+control_node::control_node(group_settings aSettings,
+                           recovered_member aRecovered,
                            std::string aSecret,
                            std::string_view aOperatorKey,
-                           incarnation aIncarnation)
-  : mSelf(std::move(aSelf))
+                           const run_values& aRun)
+  : mSelf(aSettings.mSelf)
   , mSecret(std::move(aSecret))
   , mOperatorKey(ComputeKeyDigest(aOperatorKey, mSecret))
-  , mLastGrant(aIncarnation)
+  , mOtherControlVms(aSettings.mControlVms)
+  , mReplica(std::move(aSettings), std::move(aRecovered), aRun.mSeed, aRun.mStartedAt)
+  , mLastGrant(aRun.mIncarnation)
 {
+  std::erase(mOtherControlVms, mSelf);
+  UpdateCatalogue();
 }
 
 void control_node::Handle(const node_event& aEvent, present_time aNow, node_actions& aActions)
 {
+  mPresent = aNow.mMonotonic;
+  FollowGroup();
   std::visit(overloaded{
                [&](const http_request_received& aRequest) { HandleHttp(aRequest, aNow, aActions); },
                [&](const peer_message_received& aMessage) { HandlePeer(aMessage, aNow, aActions); },
-               [&](const timer_ticked&) { mFleet.Expire(aNow.mMonotonic); },
+               [&](const timer_ticked&) { Tick(aNow.mMonotonic, aActions); },
+               [&](const batch_stored& aStored) {
+                 mReplica.TakeStored(aStored, aNow.mMonotonic, aActions);
+                 if (aStored.mIsFailed) {
+                   aActions.emplace_back(write_log{ log_level::Error, aStored.mMessage, "" });
+                   aActions.emplace_back(stop_process{});
+                 }
+               },
                [&](const stop_requested&) { aActions.emplace_back(stop_process{}); },
                [](const auto&) {} },
              aEvent);
+  FollowGroup();
+}
+
+void control_node::Tick(instant aNow, node_actions& aActions)
+{
+  mFleet.Expire(aNow);
+  mReplica.Tick(aNow, aActions);
+  if (aNow < mNextReportAt) {
+    return;
+  }
+  mNextReportAt = aNow + kReportInterval;
+  const fleet_report report = mFleet.MakeReport(aNow);
+  for (const vm_name& vm : mOtherControlVms) {
+    aActions.emplace_back(send_peer_message{ vm, report });
+  }
+}
+
+void control_node::FollowGroup()
+{
+  UpdateCatalogue();
+  const consensus_group& group = mReplica.GetGroup();
+  if (group.IsLeader() && group.GetTerm() != mLedgerTerm) {
+    // Grants of an earlier leader are unknown here, so no ledger of an earlier term is used.
+    mLedgerTerm = group.GetTerm();
+    mLedgers.clear();
+  }
 }
 
 void control_node::HandleHttp(const http_request_received& aRequest,
@@ -65,27 +106,81 @@
     reply(MakeErrorAnswer(operation.GetError(), request_outcome::NotRun));
     return;
   }
-  std::visit(overloaded{ [&](const read_configuration&) {
-                          reply(MakeConfigurationAnswer(mState.GetConfiguration()));
-                        },
-                         [&](const list_keys&) { reply(MakeKeysAnswer(mState)); },
-                         [&](const list_quarantine&) { reply(MakeQuarantineAnswer(mState)); },
-                         [&](const read_fleet&) {
-                           reply(MakeFleetAnswer({ mSelf,
-                                                   mSelf,
-                                                   mState.GetIndex(),
-                                                   mState.GetConfiguration().mVersion,
-                                                   mFleet.ListLiveVms(aNow.mMonotonic),
-                                                   mFleet.SummariseZones(aNow.mMonotonic) }));
-                         },
-                         [&](const propose_change& aChange) {
-                           if (std::optional<http_answer> refusal = CheckChange(aChange.mContent)) {
-                             reply(std::move(*refusal));
-                             return;
-                           }
-                           reply(MakeChangeAnswer(Propose(aChange.mContent, aNow)));
-                         } },
-             operation.Get());
+  if (!mReplica.GetGroup().IsLeader()) {
+    reply(MakeNotLeaderAnswer(request_outcome::NotRun));
+    return;
+  }
+  DoOperation(aRequest.mRequest, operation.Get(), aNow, aActions);
+}
+
+void control_node::DoOperation(std::uint64_t aRequest,
+                               const operator_operation& aOperation,
+                               present_time aNow,
+                               node_actions& aActions)
+{
+  // The leader checks a change against a state that holds all earlier changes.
+  mReplica.Read(
+    aNow.mMonotonic,
+    [this, aRequest, aOperation, aNow](bool aIsConfirmed, node_actions& aLater) {
+      const auto reply = [&](http_answer aAnswer) {
+        aLater.emplace_back(reply_to_client{ aRequest, std::move(aAnswer) });
+      };
+      if (!aIsConfirmed) {
+        reply(MakeNotLeaderAnswer(request_outcome::NotRun));
+        return;
+      }
+      UpdateCatalogue();
+      const auto* change = std::get_if<propose_change>(&aOperation);
+      if (change == nullptr) {
+        reply(AnswerRead(aOperation, mPresent));
+        return;
+      }
+      if (std::optional<http_answer> refusal = CheckChange(change->mContent)) {
+        reply(std::move(*refusal));
+        return;
+      }
+      mReplica.Propose(
+        change->mContent,
+        { mPresent, aNow.mWallClock },
+        [this, aRequest](const apply_result* aOutcome, node_actions& aLast) {
+          aLast.emplace_back(reply_to_client{ aRequest,
+                                              aOutcome != nullptr
+                                                ? MakeChangeAnswer(*aOutcome)
+                                                : MakeNotLeaderAnswer(request_outcome::Unknown) });
+        },
+        aLater);
+    },
+    aActions);
+}
+
+http_answer control_node::AnswerRead(const operator_operation& aOperation, instant aNow) const
+{
+  const control_state& state = mReplica.GetState();
+  return std::visit(
+    overloaded{ [&](const list_keys&) { return MakeKeysAnswer(state); },
+                [&](const list_quarantine&) { return MakeQuarantineAnswer(state); },
+                [&](const read_fleet&) {
+                  return MakeFleetAnswer({ mSelf,
+                                           mReplica.GetGroup().GetLeaderVm(),
+                                           state.GetIndex(),
+                                           state.GetConfiguration().mVersion,
+                                           mFleet.ListLiveVms(aNow),
+                                           mFleet.SummariseZones(aNow) });
+                },
+                [&](const auto&) { return MakeConfigurationAnswer(state.GetConfiguration()); } },
+    aOperation);
+}
+
+http_answer control_node::MakeNotLeaderAnswer(request_outcome aOutcome) const
+{
+  const std::string& leader = mReplica.GetGroup().GetLeaderVm().mValue;
+  return MakeErrorAnswer(MakeError(error_code::NotLeader,
+                                   step::Replicate,
+                                   leader,
+                                   leader.empty()
+                                     ? "this VM does not lead; no leader is known"
+                                     : "this VM does not lead; the leader is " + leader),
+                         aOutcome);
 }
 
 bool control_node::IsOperator(const http_request_received& aRequest) const
@@ -117,64 +212,135 @@
   return std::nullopt;
 }
 
-apply_result control_node::Propose(command_content aContent, present_time aNow)
-{
-  apply_result outcome =
-    mState.Apply(mState.GetIndex() + 1, { aNow.mWallClock.mMilliseconds, std::move(aContent) });
-  UpdateCatalogue();
-  return outcome;
-}
-
 void control_node::HandlePeer(const peer_message_received& aMessage,
                               present_time aNow,
                               node_actions& aActions)
 {
   const vm_name& sender = aMessage.mSender;
+  const instant now = aNow.mMonotonic;
   std::visit(
-    overloaded{ [&](const poll& aPoll) { AnswerPoll(sender, aPoll, aNow.mMonotonic, aActions); },
-                [&](const grant_request& aRequest) {
-                  AnswerGrants(sender, aRequest, aNow.mMonotonic, aActions);
-                },
-                [&](const claim_request& aRequest) {
-                  auto reply = std::get<claim_reply>(Propose(aRequest, aNow));
-                  reply.mLeader = mSelf;
-                  aActions.emplace_back(send_peer_message{ sender, std::move(reply) });
-                },
-                [&](const claim_outcome& aOutcome) {
-                  auto reply = std::get<claim_outcome_reply>(Propose(aOutcome, aNow));
-                  reply.mLeader = mSelf;
-                  aActions.emplace_back(send_peer_message{ sender, std::move(reply) });
-                },
-                [&](const crash_report& aReport) { Propose(aReport, aNow); },
-                [&](const fleet_report& aReport) { mFleet.TakeReport(aReport, aNow.mMonotonic); },
-                [&](const auto&) {
-                  aActions.emplace_back(write_log{ log_level::Warning,
-                                                   "a control VM does not take the message " +
-                                                     std::string(GetTypeName(aMessage.mMessage)),
-                                                   sender.mValue });
-                } },
+    overloaded{
+      [&](const poll& aPoll) { HandlePoll(sender, aPoll, now, aActions); },
+      [&](const grant_request& aRequest) { HandleGrants(sender, aRequest, now, aActions); },
+      [&](const claim_request& aRequest) { HandleClaim(sender, aRequest, aNow, aActions); },
+      [&](const claim_outcome& aOutcome) { HandleOutcome(sender, aOutcome, aNow, aActions); },
+      [&](const crash_report& aReport) { HandleCrash(sender, aReport, aNow, aActions); },
+      [&](const fleet_report& aReport) { mFleet.TakeReport(aReport, now); },
+      [&](const auto&) {
+        // Only control VMs take part in the group.
+        if (std::ranges::find(mOtherControlVms, sender) != mOtherControlVms.end()) {
+          mReplica.Receive(aMessage, now, aActions);
+          return;
+        }
+        aActions.emplace_back(write_log{ log_level::Warning,
+                                         "a control VM does not take the message " +
+                                           std::string(GetTypeName(aMessage.mMessage)),
+                                         sender.mValue });
+      } },
     aMessage.mMessage);
 }
 
-void control_node::AnswerPoll(const vm_name& aSender,
+void control_node::HandleClaim(const vm_name& aSender,
+                               const claim_request& aRequest,
+                               present_time aNow,
+                               node_actions& aActions)
+{
+  mReplica.Propose(
+    aRequest,
+    aNow,
+    [this, aSender, aRequest](const apply_result* aOutcome, node_actions& aLater) {
+      claim_reply reply{ aRequest.mKey, aRequest.mHolder, claim_verdict::NotLeader, {}, false, {} };
+      if (aOutcome != nullptr) {
+        reply = std::get<claim_reply>(*aOutcome);
+      }
+      reply.mLeader = mReplica.GetGroup().GetLeaderVm();
+      aLater.emplace_back(send_peer_message{ aSender, std::move(reply) });
+    },
+    aActions);
+}
+
+void control_node::HandleOutcome(const vm_name& aSender,
+                                 const claim_outcome& aOutcome,
+                                 present_time aNow,
+                                 node_actions& aActions)
+{
+  mReplica.Propose(
+    aOutcome,
+    aNow,
+    [this, aSender, key = aOutcome.mKey, holder = aOutcome.mHolder](const apply_result* aResult,
+                                                                    node_actions& aLater) {
+      claim_outcome_reply reply{ key, holder, false, {} };
+      if (aResult != nullptr) {
+        reply = std::get<claim_outcome_reply>(*aResult);
+      }
+      reply.mLeader = mReplica.GetGroup().GetLeaderVm();
+      aLater.emplace_back(send_peer_message{ aSender, std::move(reply) });
+    },
+    aActions);
+}
+
+void control_node::HandleCrash(const vm_name& aSender,
+                               const crash_report& aReport,
+                               present_time aNow,
+                               node_actions& aActions)
+{
+  const vm_name& leader = mReplica.GetGroup().GetLeaderVm();
+  if (mReplica.GetGroup().IsLeader()) {
+    mReplica.Propose(
+      aReport, aNow, [](const apply_result*, node_actions&) {}, aActions);
+  } else if (!leader.IsEmpty() && leader != aSender) {
+    aActions.emplace_back(send_peer_message{ leader, aReport });
+  }
+}
+
+void control_node::HandleGrants(const vm_name& aSender,
+                                const grant_request& aRequest,
+                                instant aNow,
+                                node_actions& aActions)
+{
+  if (mReplica.GetGroup().IsConfirmedLeader(aNow)) {
+    AnswerGrants(aSender, aRequest, aNow, aActions);
+    return;
+  }
+  aActions.emplace_back(send_peer_message{
+    aSender,
+    grant_reply{ aRequest.mRequestNumber, false, mReplica.GetGroup().GetLeaderVm(), {} } });
+}
+
+void control_node::HandlePoll(const vm_name& aSender,
                               const poll& aPoll,
                               instant aNow,
                               node_actions& aActions)
 {
-  const vm_record& record = aPoll.mSender;
-  if (record.mVm != aSender) {
+  if (aPoll.mSender.mVm != aSender) {
     return;
   }
   mFleet.TakePoll(aPoll, aNow);
-  aActions.emplace_back(connect_peer{ record.mVm, record.mAddress, record.mPeerPort });
+  aActions.emplace_back(connect_peer{ aSender, aPoll.mSender.mAddress, aPoll.mSender.mPeerPort });
+  mReplica.Read(
+    aNow,
+    [this, aSender, aPoll](bool aIsConfirmed, node_actions& aLater) {
+      if (aIsConfirmed) {
+        AnswerPoll(aSender, aPoll, mPresent, aLater);
+      }
+    },
+    aActions);
+}
+
+void control_node::AnswerPoll(const vm_name& aSender,
+                              const poll& aPoll,
+                              instant aNow,
+                              node_actions& aActions)
+{
+  const control_state& state = mReplica.GetState();
   poll_reply reply;
   reply.mPollNumber = aPoll.mPollNumber;
-  if (aPoll.mAppliedIndex < mState.GetIndex()) {
-    reply.mDelta = EncodeDelta(mState.MakeDelta(aPoll.mAppliedIndex));
+  if (aPoll.mAppliedIndex < state.GetIndex()) {
+    reply.mDelta = EncodeDelta(state.MakeDelta(aPoll.mAppliedIndex));
   }
   reply.mLiveVms = mFleet.ListLiveVms(aNow);
   reply.mZones = mFleet.SummariseZones(aNow);
-  reply.mLeader = mSelf;
+  reply.mLeader = mReplica.GetGroup().GetLeaderVm();
   aActions.emplace_back(send_peer_message{ aSender, std::move(reply) });
 }
 
@@ -237,7 +403,7 @@
 
 void control_node::UpdateCatalogue()
 {
-  const configuration_record& configuration = mState.GetConfiguration();
+  const configuration_record& configuration = mReplica.GetState().GetConfiguration();
   if (configuration.mVersion == mCatalogueVersion) {
     return;
   }
--- a/src/citronpulley/node/control_node.h
+++ b/src/citronpulley/node/control_node.h
@@ -5,9 +5,10 @@
 #include "citronpulley/config/catalogue.h"
 #include "citronpulley/limits/rate_ledger.h"
 #include "citronpulley/membership/fleet_table.h"
+#include "citronpulley/node/control_replica.h"
 #include "citronpulley/node/node_actions.h"
 #include "citronpulley/node/node_events.h"
-#include "citronpulley/state/control_state.h"
+#include "citronpulley/node/operator_api.h"
 
 #include <cstdint>
 #include <map>
@@ -24,29 +25,65 @@
 class control_node
 {
 public:
+  /** Values that differ in each run of the process. */
+  struct run_values
+  {
+    /** Number of the run; it rises. */
+    incarnation mIncarnation = 0;
+    /** Seed of the election timeouts. */
+    std::uint64_t mSeed = 0;
+    instant mStartedAt;
+  };
+
   /**
-   * @param aSelf this VM
+   * @param aSettings this VM and all control VMs
+   * @param aRecovered content of the data folder
    * @param aSecret secret of the deployment
    * @param aOperatorKey key of the operators
-   * @param aIncarnation number of this run
+   * @param aRun values of this run
    */
-  control_node(vm_name aSelf,
+  control_node(group_settings aSettings,
+               recovered_member aRecovered,
                std::string aSecret,
                std::string_view aOperatorKey,
-               incarnation aIncarnation);
+               const run_values& aRun);
 
   /** Handles an event; see entry_node::Handle(). */
   void Handle(const node_event& aEvent, present_time aNow, node_actions& aActions);
 
   /** @return the replicated state as this VM has applied it */
-  const control_state& GetState() const noexcept { return mState; }
+  const control_state& GetState() const noexcept { return mReplica.GetState(); }
 
 private:
   void HandleHttp(const http_request_received& aRequest, present_time aNow, node_actions& aActions);
   void HandlePeer(const peer_message_received& aMessage, present_time aNow, node_actions& aActions);
   bool IsOperator(const http_request_received& aRequest) const;
   std::optional<http_answer> CheckChange(const command_content& aContent) const;
-  apply_result Propose(command_content aContent, present_time aNow);
+  void DoOperation(std::uint64_t aRequest,
+                   const operator_operation& aOperation,
+                   present_time aNow,
+                   node_actions& aActions);
+  http_answer AnswerRead(const operator_operation& aOperation, instant aNow) const;
+  http_answer MakeNotLeaderAnswer(request_outcome aOutcome) const;
+  void HandleClaim(const vm_name& aSender,
+                   const claim_request& aRequest,
+                   present_time aNow,
+                   node_actions& aActions);
+  void HandleOutcome(const vm_name& aSender,
+                     const claim_outcome& aOutcome,
+                     present_time aNow,
+                     node_actions& aActions);
+  void HandleCrash(const vm_name& aSender,
+                   const crash_report& aReport,
+                   present_time aNow,
+                   node_actions& aActions);
+  void HandleGrants(const vm_name& aSender,
+                    const grant_request& aRequest,
+                    instant aNow,
+                    node_actions& aActions);
+  void HandlePoll(const vm_name& aSender, const poll& aPoll, instant aNow, node_actions& aActions);
+  void Tick(instant aNow, node_actions& aActions);
+  void FollowGroup();
   void AnswerPoll(const vm_name& aSender, const poll& aPoll, instant aNow, node_actions& aActions);
   void AnswerGrants(const vm_name& aSender,
                     const grant_request& aRequest,
@@ -58,12 +95,17 @@
   vm_name mSelf;
   std::string mSecret;
   key_digest mOperatorKey;
-  control_state mState;
+  std::vector<vm_name> mOtherControlVms;
+  control_replica mReplica;
   std::optional<catalogue> mCatalogue;
   std::uint64_t mCatalogueVersion = 0;
   fleet_table mFleet;
   std::map<std::string, rate_ledger> mLedgers;
   std::uint64_t mLastGrant;
+  /** Term of this VM's leadership to which the ledgers belong. */
+  term_number mLedgerTerm = 0;
+  instant mPresent;
+  instant mNextReportAt;
 };
 
 } // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/node/control_replica.cpp
@@ -0,0 +1,188 @@
+#include "citronpulley/node/control_replica.h"
+
+#include <utility>
+
+namespace citronpulley {
+
+namespace {
+
+control_state RestoreState(const recovered_member& aRecovered)
+{
+  if (aRecovered.mSnapshot) {
+    result<control_state> state = control_state::Decode(aRecovered.mSnapshot->mState);
+    if (state) {
+      return std::move(state.Get());
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+control_replica::control_replica(group_settings aSettings,
+                                 recovered_member aRecovered,
+                                 std::uint64_t aSeed,
+                                 instant aNow)
+  : mState(RestoreState(aRecovered))
+  , mGroup(std::move(aSettings), std::move(aRecovered), aSeed, aNow)
+{
+}
+
+void control_replica::Tick(instant aNow, node_actions& aActions)
+{
+  group_actions actions;
+  mGroup.Tick(aNow, actions);
+  Do(actions, aNow, aActions);
+}
+
+void control_replica::Receive(const peer_message_received& aMessage,
+                              instant aNow,
+                              node_actions& aActions)
+{
+  group_actions actions;
+  mGroup.Receive(aMessage.mSender, aMessage.mMessage, aNow, actions);
+  Do(actions, aNow, aActions);
+}
+
+void control_replica::TakeStored(const batch_stored& aStored, instant aNow, node_actions& aActions)
+{
+  if (aStored.mIsFailed) {
+    mGroup.TakeStorageFailure();
+    return;
+  }
+  group_actions actions;
+  mGroup.TakeStored(aStored.mNumber, aNow, actions);
+  Do(actions, aNow, aActions);
+}
+
+void control_replica::Propose(command_content aContent,
+                              present_time aNow,
+                              on_decided aOnDecided,
+                              node_actions& aActions)
+{
+  group_actions actions;
+  const std::optional<proposal> place =
+    mGroup.Propose(EncodeCommand({ aNow.mWallClock.mMilliseconds, std::move(aContent) }),
+                   aNow.mMonotonic,
+                   actions);
+  if (!place) {
+    aOnDecided(nullptr, aActions);
+    return;
+  }
+  mProposals.emplace(place->mIndex, pending_proposal{ place->mTerm, std::move(aOnDecided) });
+  Do(actions, aNow.mMonotonic, aActions);
+}
+
+void control_replica::Read(instant aNow, on_read aOnRead, node_actions& aActions)
+{
+  mWaitingReads.push_back(std::move(aOnRead));
+  BeginReads(aNow, aActions);
+}
+
+void control_replica::BeginReads(instant aNow, node_actions& aActions)
+{
+  while (mRunningReads.empty() && !mWaitingReads.empty()) {
+    mRunningReads = std::exchange(mWaitingReads, {});
+    group_actions actions;
+    mGroup.RequestRead(++mLastRead, aNow, actions);
+    for (group_action& action : actions) {
+      std::visit([this, &aActions](auto& aOne) { DoOne(aOne, aActions); }, action);
+    }
+  }
+}
+
+void control_replica::Do(group_actions& aGroupActions, instant aNow, node_actions& aActions)
+{
+  for (group_action& action : aGroupActions) {
+    std::visit([this, &aActions](auto& aOne) { DoOne(aOne, aActions); }, action);
+  }
+  if (!mGroup.IsLeader()) {
+    FailProposals(aActions);
+  }
+  BeginReads(aNow, aActions);
+  // Inside a callback the state can lag behind the group by actions that are not done yet.
+  if (mGroup.CountEntries() > kSnapshotEntries && mState.GetIndex() == mGroup.GetAppliedIndex()) {
+    group_actions actions;
+    mGroup.Compact(mState.Encode(), actions);
+    for (group_action& action : actions) {
+      std::visit([this, &aActions](auto& aOne) { DoOne(aOne, aActions); }, action);
+    }
+  }
+}
+
+void control_replica::DoOne(send_to_member& aSend, node_actions& aActions)
+{
+  aActions.emplace_back(send_peer_message{ std::move(aSend.mVm), std::move(aSend.mMessage) });
+}
+
+void control_replica::DoOne(storage_batch& aBatch, node_actions& aActions)
+{
+  aActions.emplace_back(std::move(aBatch));
+}
+
+void control_replica::DoOne(apply_entry& aApply, node_actions& aActions)
+{
+  const log_entry& entry = aApply.mEntry;
+  std::optional<apply_result> outcome;
+  if (!entry.mIsMembership && !entry.mPayload.empty()) {
+    const result<command> decoded = DecodeCommand(entry.mPayload);
+    if (decoded) {
+      outcome = mState.Apply(entry.mIndex, decoded.Get());
+    } else {
+      aActions.emplace_back(
+        write_log{ log_level::Error,
+                   "a committed command cannot be decoded: " + decoded.GetError().mMessage,
+                   "" });
+    }
+  }
+  if (!outcome) {
+    mState.Skip(entry.mIndex);
+  }
+  auto own = mProposals.extract(entry.mIndex);
+  if (!own.empty()) {
+    const bool isOwn = own.mapped().mTerm == entry.mTerm && outcome.has_value();
+    own.mapped().mOnDecided(isOwn ? &*outcome : nullptr, aActions);
+  }
+}
+
+void control_replica::DoOne(install_state& aInstall, node_actions& aActions)
+{
+  result<control_state> state = control_state::Decode(aInstall.mSnapshot.mState);
+  if (!state) {
+    aActions.emplace_back(
+      write_log{ log_level::Error, "a snapshot cannot be decoded; the VM stops", "" });
+    mGroup.TakeStorageFailure();
+    aActions.emplace_back(stop_process{});
+    return;
+  }
+  mState = std::move(state.Get());
+}
+
+void control_replica::DoOne(read_ready& aReady, node_actions& aActions)
+{
+  FinishReads(aReady.mRead, true, aActions);
+}
+
+void control_replica::DoOne(read_failed& aFailed, node_actions& aActions)
+{
+  FinishReads(aFailed.mRead, false, aActions);
+}
+
+void control_replica::FinishReads(std::uint64_t aRead, bool aIsConfirmed, node_actions& aActions)
+{
+  if (aRead != mLastRead) {
+    return;
+  }
+  for (const on_read& finish : std::exchange(mRunningReads, {})) {
+    finish(aIsConfirmed, aActions);
+  }
+}
+
+void control_replica::FailProposals(node_actions& aActions)
+{
+  for (const auto& [index, pending] : std::exchange(mProposals, {})) {
+    pending.mOnDecided(nullptr, aActions);
+  }
+}
+
+} // namespace citronpulley
--- a/src/citronpulley/node/entry_node.cpp
+++ b/src/citronpulley/node/entry_node.cpp
@@ -56,6 +56,7 @@
         mFlow.LosePeer(aLost.mPeer, now, aActions);
       },
       [&](const timer_ticked&) { HandleTick(now, aActions); },
+      [](const batch_stored&) {},
       [&](const stop_requested&) {
         if (!mSelf.mIsStopping) {
           mSelf.mIsStopping = true;
--- a/src/citronpulley/node/node_actions.h
+++ b/src/citronpulley/node/node_actions.h
@@ -2,6 +2,7 @@
 #define CITRONPULLEY_NODE_NODE_ACTIONS_H
 
 #include "citronpulley/dispatch/backend_dispatcher.h"
+#include "citronpulley/storage/member_storage.h"
 #include "citronpulley/wire/peer_message.h"
 
 #include <cstdint>
@@ -103,7 +104,7 @@
   friend auto operator<=>(const stop_process&, const stop_process&) = default;
 };
 
-/** Action of a node. */
+/** Action of a node; a `storage_batch` is answered by `batch_stored`. */
 using node_action = std::variant<reply_to_client,
                                  send_peer_message,
                                  connect_peer,
@@ -112,7 +113,8 @@
                                  write_log,
                                  record_request,
                                  set_gauge,
-                                 stop_process>;
+                                 stop_process,
+                                 storage_batch>;
 
 using node_actions = std::vector<node_action>;
 
--- a/src/citronpulley/node/node_events.h
+++ b/src/citronpulley/node/node_events.h
@@ -77,6 +77,17 @@
   friend auto operator<=>(const stop_requested&, const stop_requested&) = default;
 };
 
+/** The disk thread has stored all batches up to a number, or failed to. */
+struct batch_stored
+{
+  std::uint64_t mNumber = 0;
+  bool mIsFailed = false;
+  /** What failed. */
+  std::string mMessage;
+
+  friend auto operator<=>(const batch_stored&, const batch_stored&) = default;
+};
+
 /** Event for a node. */
 using node_event = std::variant<http_request_received,
                                 http_client_gone,
@@ -84,7 +95,8 @@
                                 peer_message_received,
                                 peer_lost,
                                 timer_ticked,
-                                stop_requested>;
+                                stop_requested,
+                                batch_stored>;
 
 } // namespace citronpulley
 
--- a/src/citronpulley/runtime/daemon_options.cpp
+++ b/src/citronpulley/runtime/daemon_options.cpp
@@ -36,6 +36,11 @@
   options.add_options()(
     "s,settings", "file with the settings, in TOML", cxxopts::value<std::string>())(
     "check", "check the settings and end")("h,help", "print this help");
+  if (aRole == vm_role::Control) {
+    options.add_options()("bootstrap",
+                          "form a new control group in the empty data folder and end; once for a "
+                          "deployment, on one VM");
+  }
   try {
     const cxxopts::ParseResult parsed = options.parse(aCount, aArguments);
     if (parsed.count("help") > 0) {
@@ -44,20 +49,21 @@
     }
     if (parsed.count("settings") == 0) {
       std::cerr << aName << ": --settings FILE is needed; see --help\n";
-      return { std::nullopt, ExitUsage };
+      return { std::nullopt, false, ExitUsage };
     }
     std::optional<vm_settings> settings = ReadSettings(parsed["settings"].as<std::string>(), aRole);
     if (!settings) {
-      return { std::nullopt, ExitFailure };
+      return { std::nullopt, false, ExitFailure };
     }
     if (parsed.count("check") > 0) {
       std::cout << "the settings are valid\n";
       return {};
     }
-    return { std::move(settings), ExitSuccess };
+    const bool isBootstrap = aRole == vm_role::Control && parsed.count("bootstrap") > 0;
+    return { std::move(settings), isBootstrap, ExitSuccess };
   } catch (const cxxopts::exceptions::exception& failure) {
     std::cerr << aName << ": " << failure.what() << "; see --help\n";
-    return { std::nullopt, ExitUsage };
+    return { std::nullopt, false, ExitUsage };
   }
 }
 
--- a/src/citronpulley/runtime/daemon_options.h
+++ b/src/citronpulley/runtime/daemon_options.h
@@ -21,6 +21,8 @@
 {
   /** Settings with which to run; nothing when the process is to end now. */
   std::optional<vm_settings> mSettings;
+  /** Form a new group in the data folder and end, instead of running. */
+  bool mIsBootstrap = false;
   /** Exit code when the process is to end now. */
   int mExitCode = ExitSuccess;
 };
--- a/src/citronpulley/runtime/node_runner.cpp
+++ b/src/citronpulley/runtime/node_runner.cpp
@@ -1,5 +1,6 @@
 #include "citronpulley/runtime/node_runner.h"
 
+#include "citronpulley/base/bounded_ring.h"
 #include "citronpulley/base/overloaded.h"
 #include "citronpulley/node/caller_frame.h"
 #include "citronpulley/runtime/backend_client.h"
@@ -14,11 +15,15 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <fstream>
 #include <future>
+#include <mutex>
+#include <optional>
 #include <sstream>
 #include <utility>
+#include <vector>
 
 namespace citronpulley {
 
@@ -27,6 +32,7 @@
 namespace asio = boost::asio;
 
 constexpr std::size_t kInboxCapacity = 32'768;
+constexpr std::size_t kMaxWaitingBatches = 65'536;
 constexpr std::chrono::milliseconds kTickInterval{ 5 };
 
 } // namespace
@@ -36,13 +42,17 @@
   content(const vm_settings& aSettings,
           std::string aSecret,
           incarnation aIncarnation,
-          node_handler aHandle)
+          node_handler aHandle,
+          batch_store aStore)
     : mSettings(aSettings)
     , mHandle(std::move(aHandle))
+    , mStore(std::move(aStore))
     , mReports(aSettings.mVm.mValue)
     , mHttpThread("http")
     , mPeerThread("peer")
     , mDecisionThread("decision")
+    , mDiskThread(mStore ? std::make_unique<duty_thread>("disk") : nullptr)
+    , mBatches(kMaxWaitingBatches)
     , mInbox(mDecisionThread, kInboxCapacity, [this](const node_event& aEvent) { Handle(aEvent); })
     , mTimer(mDecisionThread.GetContext())
     , mSignals(mDecisionThread.GetContext(), SIGINT, SIGTERM)
@@ -70,6 +80,9 @@
   ~content()
   {
     mDecisionThread.Stop();
+    if (mDiskThread != nullptr) {
+      mDiskThread->Stop();
+    }
     mHttpThread.Stop();
     mPeerThread.Stop();
   }
@@ -148,6 +161,44 @@
     mHttpThread.Post([this, aCancel] { mBackendClient.Cancel(aCancel.mDispatch); });
   }
 
+  void Do(storage_batch aBatch)
+  {
+    if (!mBatches.TryPush(aBatch)) {
+      FailStorage(MakeError(error_code::StorageFailed, step::Store, "", "the disk is too slow"));
+      return;
+    }
+    if (!mIsStoring.exchange(true)) {
+      mDiskThread->Post([this] { StoreWaiting(); });
+    }
+  }
+
+  /** Runs on the disk thread; all batches that wait share a sync. */
+  void StoreWaiting()
+  {
+    mIsStoring.store(false);
+    std::vector<storage_batch> batches;
+    while (std::optional<storage_batch> batch = mBatches.TryPop()) {
+      batches.push_back(std::move(*batch));
+    }
+    if (batches.empty()) {
+      return;
+    }
+    if (const status stored = mStore(batches); !stored) {
+      FailStorage(stored.GetError());
+      return;
+    }
+    Push(batch_stored{ batches.back().mNumber, false, {} });
+  }
+
+  void FailStorage(const error& aFailure)
+  {
+    {
+      const std::lock_guard lock(mFailureMutex);
+      mFailure = aFailure;
+    }
+    Push(batch_stored{ 0, true, aFailure.mPeer + ": " + aFailure.mMessage });
+  }
+
   void Do(write_log aLine) { mReports.Log(std::move(aLine)); }
   void Do(record_request aRecord) { mReports.Record(std::move(aRecord)); }
   void Do(set_gauge aGauge) { mReports.Set(std::move(aGauge)); }
@@ -173,10 +224,17 @@
 
   vm_settings mSettings;
   node_handler mHandle;
+  batch_store mStore;
   report_sink mReports;
   duty_thread mHttpThread;
   duty_thread mPeerThread;
   duty_thread mDecisionThread;
+  /** Null on a VM that stores nothing. */
+  std::unique_ptr<duty_thread> mDiskThread;
+  bounded_ring<storage_batch> mBatches;
+  std::atomic<bool> mIsStoring{ false };
+  std::mutex mFailureMutex;
+  std::optional<error> mFailure;
   duty_inbox<node_event> mInbox;
   asio::steady_timer mTimer;
   asio::signal_set mSignals;
@@ -190,9 +248,13 @@
 node_runner::node_runner(const vm_settings& aSettings,
                          std::string aSecret,
                          incarnation aIncarnation,
-                         node_handler aHandle)
-  : mContent(
-      std::make_unique<content>(aSettings, std::move(aSecret), aIncarnation, std::move(aHandle)))
+                         node_handler aHandle,
+                         batch_store aStore)
+  : mContent(std::make_unique<content>(aSettings,
+                                       std::move(aSecret),
+                                       aIncarnation,
+                                       std::move(aHandle),
+                                       std::move(aStore)))
 {
 }
 
@@ -225,6 +287,12 @@
       "listening on " + settings.mAddress + ":" + std::to_string(settings.mHttpPort),
       "" });
   runner.mStopped.get_future().wait();
+  {
+    const std::lock_guard lock(runner.mFailureMutex);
+    if (runner.mFailure) {
+      return *runner.mFailure;
+    }
+  }
   runner.mReports.Log({ log_level::Information, "stopped gracefully", "" });
   return std::monostate{};
 }
--- a/src/citronpulley/runtime/node_runner.h
+++ b/src/citronpulley/runtime/node_runner.h
@@ -9,12 +9,16 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace citronpulley {
 
 /** Pure decisions of a node as the runner calls them. */
 using node_handler = std::function<void(const node_event&, present_time, node_actions&)>;
 
+/** Stores batches durably; called on the disk thread only. */
+using batch_store = std::function<status(const std::vector<storage_batch>&)>;
+
 /**
  * Threads, sockets and clock around a node: it turns what arrives into events, calls the node on
  * one thread, and carries out its actions.
@@ -27,11 +31,13 @@
    * @param aSecret secret of the deployment
    * @param aIncarnation number of this run
    * @param aHandle the node's decisions; called on one thread only
+   * @param aStore storage of a control VM; empty on entry VMs, which store nothing
    */
   node_runner(const vm_settings& aSettings,
               std::string aSecret,
               incarnation aIncarnation,
-              node_handler aHandle);
+              node_handler aHandle,
+              batch_store aStore = {});
   ~node_runner();
   node_runner(const node_runner&) = delete;
   node_runner& operator=(const node_runner&) = delete;
--- a/src/programs/citronpulley_controld.cpp
+++ b/src/programs/citronpulley_controld.cpp
@@ -2,6 +2,7 @@
 #include "citronpulley/runtime/daemon_options.h"
 #include "citronpulley/runtime/node_runner.h"
 #include "citronpulley/runtime/system_clock.h"
+#include "citronpulley/storage/storage.h"
 
 #include <sodium.h>
 
@@ -13,31 +14,84 @@
 
 constexpr std::size_t kMinSecretLength = 32;
 
-int Run(const vm_settings& aSettings)
+std::uint64_t MakeRandomNumber()
+{
+  std::uint64_t number = 0;
+  while (number == 0) {
+    randombytes_buf(&number, sizeof(number));
+  }
+  return number;
+}
+
+int Fail(const error& aError)
+{
+  std::cerr << aError.mPeer << ": " << aError.mMessage << "\n";
+  return ExitFailure;
+}
+
+/** Forms a new group in a data folder that belongs to none. */
+int FormGroup(member_storage& aStorage,
+              const recovered_member& aRecovered,
+              const vm_settings& aSettings)
+{
+  if (aRecovered.mSnapshot || !aRecovered.mEntries.empty()) {
+    return Fail(MakeError(error_code::BadRequest,
+                          step::Recover,
+                          aSettings.mDataFolder,
+                          "the data folder already belongs to a control group"));
+  }
+  const status stored = aStorage.Store(
+    { { 1,
+        vote_record{ 1, {} },
+        {},
+        { MakeFirstEntry(MakeRandomNumber(), aRecovered.mMember, aSettings.mVm) } } });
+  if (!stored) {
+    return Fail(stored.GetError());
+  }
+  std::cout << "formed a new control group; start the control VMs now\n";
+  return ExitSuccess;
+}
+
+int Run(const vm_settings& aSettings, bool aIsBootstrap)
 {
   const result<std::string> secret = ReadSecretFile(aSettings.mSecretFile, kMinSecretLength);
   const result<std::string> operatorKey =
     ReadSecretFile(aSettings.mOperatorKeyFile, kMinSecretLength);
   for (const result<std::string>* file : { &secret, &operatorKey }) {
     if (!*file) {
-      std::cerr << file->GetError().mPeer << ": " << file->GetError().mMessage << "\n";
-      return ExitFailure;
+      return Fail(file->GetError());
     }
   }
+  posix_file_system files;
+  member_storage storage(files, aSettings.mDataFolder);
+  result<recovered_member> recovered = storage.Open(member_id{ MakeRandomNumber() });
+  if (!recovered) {
+    return Fail(recovered.GetError());
+  }
+  if (aIsBootstrap) {
+    return FormGroup(storage, recovered.Get(), aSettings);
+  }
   const auto run = static_cast<incarnation>(ReadPresentTime().mWallClock.mMilliseconds);
-  control_node node(aSettings.mVm, secret.Get(), operatorKey.Get(), run);
-  node_runner runner(aSettings,
-                     secret.Get(),
-                     run,
-                     [&node](const node_event& aEvent, present_time aNow, node_actions& aActions) {
-                       node.Handle(aEvent, aNow, aActions);
-                     });
-  const status ended = runner.Run();
-  if (!ended) {
-    std::cerr << ended.GetError().mPeer << ": " << ended.GetError().mMessage << "\n";
-    return ExitFailure;
+  group_settings group;
+  group.mSelf = aSettings.mVm;
+  for (const control_vm& vm : aSettings.mControlVms) {
+    group.mControlVms.push_back(vm.mVm);
   }
-  return ExitSuccess;
+  control_node node(std::move(group),
+                    std::move(recovered.Get()),
+                    secret.Get(),
+                    operatorKey.Get(),
+                    { run, MakeRandomNumber(), ReadPresentTime().mMonotonic });
+  node_runner runner(
+    aSettings,
+    secret.Get(),
+    run,
+    [&node](const node_event& aEvent, present_time aNow, node_actions& aActions) {
+      node.Handle(aEvent, aNow, aActions);
+    },
+    [&storage](const std::vector<storage_batch>& aBatches) { return storage.Store(aBatches); });
+  const status ended = runner.Run();
+  return ended ? ExitSuccess : Fail(ended.GetError());
 }
 
 } // namespace
@@ -49,5 +103,5 @@
   }
   const daemon_options options =
     ReadDaemonOptions(aCount, aArguments, "citronpulley_controld", vm_role::Control);
-  return options.mSettings ? Run(*options.mSettings) : options.mExitCode;
+  return options.mSettings ? Run(*options.mSettings, options.mIsBootstrap) : options.mExitCode;
 }
