--- a/src/citronpulley/wire/peer_message.cpp
+++ b/src/citronpulley/wire/peer_message.cpp
@@ -37,6 +37,7 @@
   "fleet_report",
   "link_probe",
   "link_probe_reply",
+  "join_request",
 };
 
 } // namespace
--- a/src/citronpulley/wire/peer_message.h
+++ b/src/citronpulley/wire/peer_message.h
@@ -44,7 +44,8 @@
                                   swim_ack,
                                   fleet_report,
                                   link_probe,
-                                  link_probe_reply>;
+                                  link_probe_reply,
+                                  join_request>;
 
 /** @return the encoded message, without envelope */
 std::string EncodeMessage(const peer_message& aMessage);
