--- a/src/citronpulley/node/control_node.h
+++ b/src/citronpulley/node/control_node.h
@@ -47,6 +47,10 @@
                std::string aSecret,
                std::string_view aOperatorKey,
                const run_values& aRun);
+  ~control_node() = default;
+  // Callbacks that wait for the group refer to the node.
+  control_node(const control_node&) = delete;
+  control_node& operator=(const control_node&) = delete;
 
   /** Handles an event; see entry_node::Handle(). */
   void Handle(const node_event& aEvent, present_time aNow, node_actions& aActions);
