Add a module that replays recorded traces in virtual time

Cause: design section 10 verifies the system by replay of traces, and nothing could read or run one. Ruled out: a general cluster simulator; and judging from the state of the nodes, which would repeat their faults. Change: reader with rules for each kind of line, virtual queue, hosts and fake servers around the real entry_node and control_node, and a judge that sees only requests, answers, runs and health pages. One adapter class makes the control node.

--- /dev/null
+++ b/src/citronpulley/replay/outcome_checker.cpp
@@ -0,0 +1,494 @@
+#include "citronpulley/replay/outcome_checker.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <limits>
+#include <map>
+#include <set>
+
+namespace citronpulley {
+
+namespace {
+
+std::string Format(double aValue)
+{
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", aValue);
+  return text;
+}
+
+std::string FormatTime(microseconds aTime)
+{
+  return Format(static_cast<double>(aTime.count()) / 1e3) + " ms";
+}
+
+std::string Quote(const std::string& aText)
+{
+  return "\"" + aText + "\"";
+}
+
+/** Checks of one replay. */
+class history_judge
+{
+public:
+  history_judge(const trace& aTrace, const replay_history& aHistory)
+    : mTrace(aTrace)
+    , mHistory(aHistory)
+  {
+    for (const request_record& request : aHistory.mRequests) {
+      if (!request.mId.empty()) {
+        mRequests.emplace(request.mId, &request);
+      }
+    }
+  }
+
+  judgement Judge()
+  {
+    CheckRunsOfAllTraces();
+    CheckAnswersOfAllTraces();
+    CheckVersionsOfAllTraces();
+    for (const trace_entry& outcome : mTrace.mOutcomes) {
+      mLine = outcome.GetLine();
+      ++mResult.mOutcomes;
+      CheckOutcome(outcome);
+    }
+    return std::move(mResult);
+  }
+
+private:
+  void Report(const std::string& aDifference)
+  {
+    mResult.mDifferences.push_back(mTrace.mFile + ":" + std::to_string(mLine) + ": " + aDifference);
+  }
+
+  const request_record* Find(const std::string& aId) const
+  {
+    const auto found = mRequests.find(aId);
+    return found == mRequests.end() ? nullptr : found->second;
+  }
+
+  void CheckRunsOfAllTraces()
+  {
+    std::map<std::string, std::size_t> runsOfKey;
+    std::set<std::string> ran;
+    for (const run_record& run : mHistory.mRuns) {
+      const std::string place = " at " + run.mServer + " at " + FormatTime(run.mStartedAt);
+      ran.insert(run.mRequest);
+      if (run.mIsKeySeen) {
+        Report("I4: the server saw the caller's key" + place);
+      }
+      const request_record* request = Find(run.mRequest);
+      if (request == nullptr) {
+        Report("I3: a run belongs to no request" + place);
+        continue;
+      }
+      if (!run.mWorkspace.empty() && run.mWorkspace != request->mWorkspace) {
+        Report("I3: " + request->mId + " ran for " + Quote(run.mWorkspace) + " and not for " +
+               Quote(request->mWorkspace) + place);
+      }
+      if (!request->mIdempotencyKey.empty() &&
+          ++runsOfKey[request->mWorkspace + "/" + request->mIdempotencyKey] == 2) {
+        Report("I9: idempotency key " + Quote(request->mIdempotencyKey) + " ran twice" + place);
+      }
+    }
+    for (const request_record& request : mHistory.mRequests) {
+      if (request.mOutcome == "not_run" && ran.contains(request.mId)) {
+        Report("I8: " + request.mId + " was rejected as not_run (" + request.mCode +
+               ") but has run");
+      }
+    }
+    for (const trace_server& server : mTrace.mServers) {
+      const std::int64_t most =
+        CountMostRunning([&](const run_record& aRun) { return aRun.mServer == server.mName; });
+      if (most > server.mSlots) {
+        Report("I2: " + server.mName + " ran " + std::to_string(most) + " requests at once with " +
+               std::to_string(server.mSlots) + " slots");
+      }
+    }
+  }
+
+  void CheckAnswersOfAllTraces()
+  {
+    for (const request_record& request : mHistory.mRequests) {
+      if (request.mIsOperation || request.mStatus != 200) {
+        continue;
+      }
+      const request_record* answered = Find(request.mAnswersRequest);
+      const bool isOwn = request.mAnswersRequest == request.mId;
+      const bool isRepeated = answered != nullptr && !request.mIdempotencyKey.empty() &&
+                              answered->mIdempotencyKey == request.mIdempotencyKey &&
+                              answered->mWorkspace == request.mWorkspace;
+      if (!isOwn && !isRepeated) {
+        Report("I7: " + request.mId + " got the answer of " + Quote(request.mAnswersRequest));
+      }
+    }
+  }
+
+  void CheckVersionsOfAllTraces()
+  {
+    std::map<std::string, std::uint64_t> highest;
+    for (const version_record& version : mHistory.mVersions) {
+      std::uint64_t& known = highest[version.mVm];
+      // Version 0 means that a restarted VM serves nothing yet.
+      if (version.mVersion != 0 && version.mVersion < known) {
+        Report("I12: " + version.mVm + " went back from version " + std::to_string(known) + " to " +
+               std::to_string(version.mVersion) + " at " + FormatTime(version.mAt));
+      }
+      known = std::max(known, version.mVersion);
+    }
+  }
+
+  template<typename Filter>
+  std::int64_t CountMostRunning(const Filter& aFilter) const
+  {
+    std::vector<std::pair<microseconds, int>> changes;
+    for (const run_record& run : mHistory.mRuns) {
+      if (aFilter(run)) {
+        changes.emplace_back(run.mStartedAt, 1);
+        changes.emplace_back(run.mEndedAt, -1);
+      }
+    }
+    std::sort(changes.begin(), changes.end());
+    std::int64_t running = 0;
+    std::int64_t most = 0;
+    for (const auto& [time, change] : changes) {
+      running += change;
+      most = std::max(most, running);
+    }
+    return most;
+  }
+
+  static bool IsServerNamed(const trace_server& aServer, const std::string& aName)
+  {
+    return aServer.mName == aName || aServer.mDeclaredName == aName;
+  }
+
+  bool IsSelected(const run_record& aRun, const trace_entry& aOutcome) const
+  {
+    const request_record* request = Find(aRun.mRequest);
+    const auto differs = [&](const char* aKey, const std::string& aValue) {
+      return aOutcome.Has(aKey) && aOutcome.GetText(aKey) != aValue;
+    };
+    if (differs("request", aRun.mRequest) || differs("service", aRun.mService) ||
+        differs("workspace", aRun.mWorkspace) || differs("zone", aRun.mZone) ||
+        differs("region", aRun.mRegion) ||
+        differs("idempotency_key", request == nullptr ? "" : request->mIdempotencyKey)) {
+      return false;
+    }
+    if (aOutcome.Has("path") && !aRun.mPath.starts_with(aOutcome.GetText("path"))) {
+      return false;
+    }
+    if (aOutcome.Has("server")) {
+      const bool isServer =
+        std::any_of(mTrace.mServers.begin(), mTrace.mServers.end(), [&](const auto& aServer) {
+          return aServer.mName == aRun.mServer &&
+                 IsServerNamed(aServer, aOutcome.GetText("server"));
+        });
+      if (!isServer) {
+        return false;
+      }
+    }
+    return IsInTime(aRun.mStartedAt, aOutcome);
+  }
+
+  static bool IsInTime(microseconds aTime, const trace_entry& aOutcome)
+  {
+    return aTime >= aOutcome.GetTime("after_ms") &&
+           (!aOutcome.Has("before_ms") || aTime < aOutcome.GetTime("before_ms"));
+  }
+
+  std::vector<const run_record*> Select(const trace_entry& aOutcome) const
+  {
+    std::vector<const run_record*> runs;
+    for (const run_record& run : mHistory.mRuns) {
+      if (IsSelected(run, aOutcome)) {
+        runs.push_back(&run);
+      }
+    }
+    return runs;
+  }
+
+  void CheckOutcome(const trace_entry& aOutcome)
+  {
+    const std::string& kind = aOutcome.GetKind();
+    if (kind == "answer") {
+      CheckAnswer(aOutcome);
+    } else if (kind == "runs") {
+      const std::vector<const run_record*> runs = Select(aOutcome);
+      const std::string last =
+        runs.empty() ? "" : ", the last one at " + FormatTime(runs.back()->mStartedAt);
+      CheckCount("runs", static_cast<std::int64_t>(runs.size()), aOutcome, last);
+    } else if (kind == "group") {
+      CheckGroup(aOutcome);
+    } else if (kind == "running") {
+      CheckRunning(aOutcome);
+    } else if (kind == "rate") {
+      CheckRate(aOutcome);
+    } else if (kind == "spend") {
+      CheckSpend(aOutcome);
+    } else if (kind == "latency") {
+      CheckLatency(aOutcome);
+    } else if (kind == "version") {
+      CheckVersion(aOutcome);
+    } else {
+      CheckStopped(aOutcome);
+    }
+  }
+
+  void CheckCount(const std::string& aWhat,
+                  std::int64_t aCount,
+                  const trace_entry& aOutcome,
+                  const std::string& aDetail = "")
+  {
+    const std::string found = std::to_string(aCount) + " " + aWhat + aDetail;
+    if (aOutcome.Has("at_most") && aCount > aOutcome.GetInteger("at_most", 0)) {
+      Report(found + "; at most " + std::to_string(aOutcome.GetInteger("at_most", 0)) +
+             " are stated");
+    }
+    if (aOutcome.Has("at_least") && aCount < aOutcome.GetInteger("at_least", 0)) {
+      Report(found + "; at least " + std::to_string(aOutcome.GetInteger("at_least", 0)) +
+             " are stated");
+    }
+  }
+
+  void CheckAnswer(const trace_entry& aOutcome)
+  {
+    const std::string id = aOutcome.GetText("request");
+    const request_record* request = Find(id);
+    if (request == nullptr || !request->mIsEnded) {
+      Report(id + " has not ended");
+      return;
+    }
+    const std::string status = std::to_string(request->mStatus);
+    if (aOutcome.Has("status") && aOutcome.GetInteger("status", 0) != request->mStatus) {
+      Report(id + " got status " + status + " (" + request->mCode + " " + request->mOutcome +
+             ") and not " + std::to_string(aOutcome.GetInteger("status", 0)));
+    }
+    const auto compare = [&](const char* aKey, const std::string& aFound) {
+      if (aOutcome.Has(aKey) && aOutcome.GetText(aKey) != aFound) {
+        Report(id + ": " + aKey + " is " + Quote(aFound) + " and not " +
+               Quote(aOutcome.GetText(aKey)));
+      }
+    };
+    compare("code", request->mCode);
+    compare("outcome", request->mOutcome);
+    compare("server", request->mServer);
+    compare("zone", request->mZone);
+    compare("region", request->mRegion);
+    compare("body", request->mAnswer);
+    if (aOutcome.Has("body_contains") &&
+        request->mAnswer.find(aOutcome.GetText("body_contains")) == std::string::npos) {
+      Report(id + ": the answer does not contain " + Quote(aOutcome.GetText("body_contains")));
+    }
+    if (aOutcome.Has("same_body_as")) {
+      const request_record* other = Find(aOutcome.GetText("same_body_as"));
+      if (other == nullptr || other->mAnswer != request->mAnswer) {
+        Report(id + " got another answer than " + aOutcome.GetText("same_body_as"));
+      }
+    }
+    if (aOutcome.Has("by_ms") && request->mEndedAt > aOutcome.GetTime("by_ms")) {
+      Report(id + " ended at " + FormatTime(request->mEndedAt));
+    }
+  }
+
+  void CheckGroup(const trace_entry& aOutcome)
+  {
+    std::int64_t all = 0;
+    std::int64_t matching = 0;
+    std::map<std::string, std::int64_t> others;
+    for (const request_record& request : mHistory.mRequests) {
+      const bool isMember =
+        request.mGroup == aOutcome.GetText("group") && IsInTime(request.mSentAt, aOutcome) &&
+        (!aOutcome.Has("vm") || request.mVm == aOutcome.GetText("vm")) &&
+        (!aOutcome.Has("workspace") || request.mWorkspace == aOutcome.GetText("workspace"));
+      if (!isMember) {
+        continue;
+      }
+      ++all;
+      const auto agrees = [&](const char* aKey, const std::string& aValue) {
+        return !aOutcome.Has(aKey) || aOutcome.GetText(aKey) == aValue;
+      };
+      const bool isMatching =
+        request.mIsEnded &&
+        (!aOutcome.Has("status") || aOutcome.GetInteger("status", 0) == request.mStatus) &&
+        agrees("code", request.mCode) && agrees("outcome", request.mOutcome) &&
+        agrees("zone", request.mZone) && agrees("region", request.mRegion);
+      if (isMatching) {
+        ++matching;
+      } else {
+        ++others[request.mIsEnded ? std::to_string(request.mStatus) + " " + request.mCode + " " +
+                                      request.mOutcome + request.mRegion
+                                  : "no end"];
+      }
+    }
+    std::string detail = " of " + std::to_string(all);
+    for (const auto& [code, count] : others) {
+      detail += "; " + std::to_string(count) + " " + code;
+    }
+    CheckCount("matching requests", matching, aOutcome, detail);
+    const double ratio = all == 0 ? 0 : static_cast<double>(matching) / static_cast<double>(all);
+    const std::string found =
+      "ratio " + Format(ratio) + " (" + std::to_string(matching) + detail + ")";
+    if (aOutcome.Has("at_least_ratio") && ratio < aOutcome.GetNumber("at_least_ratio", 0)) {
+      Report(found + " is below " + Format(aOutcome.GetNumber("at_least_ratio", 0)));
+    }
+    if (aOutcome.Has("at_most_ratio") && ratio > aOutcome.GetNumber("at_most_ratio", 0)) {
+      Report(found + " is above " + Format(aOutcome.GetNumber("at_most_ratio", 0)));
+    }
+  }
+
+  void CheckRunning(const trace_entry& aOutcome)
+  {
+    for (const trace_server& server : mTrace.mServers) {
+      const std::int64_t most = CountMostRunning([&](const run_record& aRun) {
+        return aRun.mServer == server.mName && IsSelected(aRun, aOutcome);
+      });
+      if (most > aOutcome.GetInteger("at_most", 0)) {
+        Report(server.mName + " ran " + std::to_string(most) + " requests at once");
+      }
+    }
+  }
+
+  void CheckRate(const trace_entry& aOutcome)
+  {
+    const std::vector<const run_record*> runs = Select(aOutcome);
+    const microseconds window = aOutcome.GetTime("window_ms", 1'000);
+    std::size_t first = 0;
+    std::size_t most = 0;
+    microseconds at{ 0 };
+    for (std::size_t last = 0; last < runs.size(); ++last) {
+      while (runs[first]->mStartedAt + window <= runs[last]->mStartedAt) {
+        ++first;
+      }
+      if (last - first + 1 > most) {
+        most = last - first + 1;
+        at = runs[first]->mStartedAt;
+      }
+    }
+    CheckCount("runs in a window",
+               static_cast<std::int64_t>(most),
+               aOutcome,
+               " that begins at " + FormatTime(at));
+  }
+
+  void CheckSpend(const trace_entry& aOutcome)
+  {
+    std::vector<microseconds> times;
+    std::set<std::string> counted;
+    for (const run_record& run : mHistory.mRuns) {
+      // A retry of one request spends the workspace's rate once.
+      if (run.mWorkspace == aOutcome.GetText("workspace") && counted.insert(run.mRequest).second) {
+        times.push_back(run.mStartedAt);
+      }
+    }
+    const double rate = aOutcome.GetNumber("rate_per_second", 0);
+    const double allowance = rate * aOutcome.GetNumber("jitter_ms", 0) / 1e3;
+    const double excess =
+      ComputeWorstExcess(times, rate, aOutcome.GetNumber("burst", 0) + allowance);
+    if (excess > 0) {
+      Report("a window has " + Format(excess) + " requests of " +
+             Quote(aOutcome.GetText("workspace")) + " more than rate and burst allow");
+    }
+  }
+
+  void CheckLatency(const trace_entry& aOutcome)
+  {
+    std::vector<double> values;
+    for (const request_record& request : mHistory.mRequests) {
+      if (request.mGroup == aOutcome.GetText("group") && request.mStatus == 200 &&
+          IsInTime(request.mSentAt, aOutcome)) {
+        values.push_back(static_cast<double>((request.mEndedAt - request.mSentAt).count()) / 1e3);
+      }
+    }
+    const double found = FindQuantile(values, aOutcome.GetNumber("quantile", 0.5));
+    const std::string text =
+      "the quantile is " + Format(found) + " ms over " + std::to_string(values.size()) + " answers";
+    if (values.empty() ||
+        (aOutcome.Has("at_most_ms") && found > aOutcome.GetNumber("at_most_ms", 0))) {
+      Report(text);
+    }
+    if (aOutcome.Has("at_least_ms") && found < aOutcome.GetNumber("at_least_ms", 0)) {
+      Report(text);
+    }
+  }
+
+  void CheckVersion(const trace_entry& aOutcome)
+  {
+    const auto wanted = static_cast<std::uint64_t>(aOutcome.GetInteger("version", 0));
+    const microseconds by = aOutcome.GetTime("by_ms");
+    std::vector<std::string> names = aOutcome.GetList("vms");
+    if (names.empty()) {
+      names.emplace_back("*");
+    }
+    std::set<std::string> vms;
+    for (const std::string& name : names) {
+      for (const std::string& vm : mTrace.FindEntryVms(name)) {
+        vms.insert(vm);
+      }
+    }
+    std::map<std::string, std::uint64_t> latest;
+    for (const version_record& version : mHistory.mVersions) {
+      if (version.mAt <= by) {
+        latest[version.mVm] = version.mVersion;
+      }
+    }
+    for (const std::string& vm : vms) {
+      if (latest[vm] < wanted) {
+        Report(vm + " has version " + std::to_string(latest[vm]) + " in force");
+      }
+    }
+  }
+
+  void CheckStopped(const trace_entry& aOutcome)
+  {
+    for (const occasion_record& occasion : mHistory.mOccasions) {
+      if (occasion.mKind == "stopped" && occasion.mPlace == aOutcome.GetText("vm") &&
+          occasion.mAt <= aOutcome.GetTime("by_ms")) {
+        return;
+      }
+    }
+    Report(aOutcome.GetText("vm") + " has not stopped");
+  }
+
+  const trace& mTrace;
+  const replay_history& mHistory;
+  std::map<std::string, const request_record*> mRequests;
+  judgement mResult;
+  std::size_t mLine = 0;
+};
+
+} // namespace
+
+double ComputeWorstExcess(const std::vector<microseconds>& aTimes, double aRate, double aBurst)
+{
+  // The largest count(s..t) - rate * (t - s) over all s <= t, found in one pass.
+  double best = -std::numeric_limits<double>::infinity();
+  double worst = -std::numeric_limits<double>::infinity();
+  double count = 0;
+  for (const microseconds time : aTimes) {
+    const double refill = aRate * static_cast<double>(time.count()) / 1e6;
+    best = std::max(best, refill - count);
+    ++count;
+    worst = std::max(worst, count - refill + best);
+  }
+  return aTimes.empty() ? 0 : worst - aBurst;
+}
+
+double FindQuantile(std::vector<double> aValues, double aQuantile)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  std::sort(aValues.begin(), aValues.end());
+  const double rank = std::ceil(aQuantile * static_cast<double>(aValues.size()));
+  const auto position = static_cast<std::size_t>(std::max(rank, 1.0)) - 1;
+  return aValues[std::min(position, aValues.size() - 1)];
+}
+
+judgement JudgeHistory(const trace& aTrace, const replay_history& aHistory)
+{
+  return history_judge(aTrace, aHistory).Judge();
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/replay/replay.h
@@ -0,0 +1,21 @@
+#ifndef CITRONPULLEY_REPLAY_REPLAY_H
+#define CITRONPULLEY_REPLAY_REPLAY_H
+
+/**
+ * @file
+ * Module `replay`: reads recorded traces, runs the nodes on them in virtual time, and judges stated
+ * outcomes from the recorded history alone. The format is described in docs/trace-format.md.
+ */
+
+#include "citronpulley/replay/control_vm_driver.h"
+#include "citronpulley/replay/outcome_checker.h"
+#include "citronpulley/replay/replay_history.h"
+#include "citronpulley/replay/replay_measures.h"
+#include "citronpulley/replay/replay_runner.h"
+#include "citronpulley/replay/trace.h"
+#include "citronpulley/replay/trace_entry.h"
+#include "citronpulley/replay/trace_rules.h"
+#include "citronpulley/replay/virtual_queue.h"
+#include "citronpulley/replay/virtual_servers.h"
+
+#endif
--- /dev/null
+++ b/src/citronpulley/replay/replay_measures.cpp
@@ -0,0 +1,204 @@
+#include "citronpulley/replay/replay_measures.h"
+
+#include "citronpulley/config/catalogue.h"
+#include "citronpulley/replay/outcome_checker.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <utility>
+
+namespace citronpulley {
+
+namespace {
+
+/** Rounds to three decimals, so that the output is the same on every platform. */
+double Round(double aValue)
+{
+  return std::round(aValue * 1e3) / 1e3;
+}
+
+double GetLatency(const request_record& aRequest)
+{
+  return static_cast<double>((aRequest.mEndedAt - aRequest.mSentAt).count()) / 1e3;
+}
+
+bool IsCallers(const request_record& aRequest)
+{
+  return !aRequest.mIsOperation;
+}
+
+/** Rate and burst of each workspace in the first text that the trace submits. */
+std::map<std::string, std::pair<double, double>> ReadRates(const trace& aTrace)
+{
+  std::map<std::string, std::pair<double, double>> rates;
+  for (const trace_entry& event : aTrace.mEvents) {
+    if (event.GetKind() != "submit" || !rates.empty()) {
+      continue;
+    }
+    config_faults faults;
+    const auto content = ParseCatalogue(aTrace.mTexts.at(event.GetText("text")), "text", faults);
+    if (content) {
+      for (const workspace_entry& workspace : content->mWorkspaces) {
+        rates[workspace.mName.mValue] = { workspace.mRatePerSecond, workspace.mBurst };
+      }
+    }
+  }
+  return rates;
+}
+
+boost::json::object MeasureLatency(const replay_history& aHistory)
+{
+  std::vector<double> values;
+  for (const request_record& request : aHistory.mRequests) {
+    if (IsCallers(request) && request.mStatus == 200) {
+      values.push_back(GetLatency(request));
+    }
+  }
+  return { { "answers", values.size() },
+           { "p50", Round(FindQuantile(values, 0.5)) },
+           { "p90", Round(FindQuantile(values, 0.9)) },
+           { "p99", Round(FindQuantile(values, 0.99)) },
+           { "max", Round(FindQuantile(values, 1)) } };
+}
+
+/** Least free part of the slots of any region in any second. */
+boost::json::object MeasureHeadroom(const trace& aTrace, const replay_history& aHistory)
+{
+  std::map<std::string, double> slots;
+  for (const trace_server& server : aTrace.mServers) {
+    slots[server.mRegion] += static_cast<double>(server.mSlots);
+  }
+  constexpr std::int64_t kSecond = 1'000'000;
+  std::map<std::pair<std::string, std::int64_t>, double> busy;
+  for (const run_record& run : aHistory.mRuns) {
+    std::int64_t from = run.mStartedAt.count();
+    while (from < run.mEndedAt.count()) {
+      const std::int64_t to = std::min(run.mEndedAt.count(), (from / kSecond + 1) * kSecond);
+      busy[{ run.mRegion, from / kSecond }] += static_cast<double>(to - from) / kSecond;
+      from = to;
+    }
+  }
+  boost::json::object regions;
+  for (const auto& [region, count] : slots) {
+    double most = 0;
+    double sum = 0;
+    for (const auto& [place, used] : busy) {
+      if (place.first == region) {
+        most = std::max(most, used);
+        sum += used;
+      }
+    }
+    const double seconds = static_cast<double>(aTrace.mEndsAt.count()) / kSecond;
+    regions[region] = boost::json::object{ { "least", Round(1 - most / count) },
+                                           { "mean", Round(1 - sum / seconds / count) } };
+  }
+  return regions;
+}
+
+/** Time from each drain, leave or stop to the end of the last run that was under way or began. */
+boost::json::array MeasureDrains(const trace& aTrace, const replay_history& aHistory)
+{
+  boost::json::array drains;
+  for (const occasion_record& occasion : aHistory.mOccasions) {
+    if (occasion.mKind == "stopped") {
+      continue;
+    }
+    microseconds end = occasion.mAt;
+    bool isDone = occasion.mKind == "drain";
+    if (occasion.mKind == "stop") {
+      for (const occasion_record& other : aHistory.mOccasions) {
+        if (!isDone && other.mKind == "stopped" && other.mPlace == occasion.mPlace &&
+            other.mAt >= occasion.mAt) {
+          end = other.mAt;
+          isDone = true;
+        }
+      }
+    }
+    for (const run_record& run : aHistory.mRuns) {
+      const bool isHere = run.mServer == occasion.mPlace || run.mRegion == occasion.mPlace;
+      if (isHere && run.mEndedAt > end) {
+        end = run.mEndedAt;
+        isDone = isDone && run.mEndedAt < aTrace.mEndsAt;
+      }
+    }
+    const double time = static_cast<double>((end - occasion.mAt).count()) / 1e3;
+    drains.push_back({ { "place", occasion.mPlace },
+                       { "kind", occasion.mKind },
+                       { "ms", isDone ? boost::json::value(Round(time)) : nullptr } });
+  }
+  return drains;
+}
+
+struct workspace_sums
+{
+  std::int64_t mInside = 0;
+  std::int64_t mAnswered = 0;
+  std::int64_t mRefused = 0;
+  std::vector<double> mLatencies;
+  double mLevel = 0;
+  microseconds mLevelAt{ 0 };
+};
+
+} // namespace
+
+std::string MeasureHistory(const trace& aTrace, const replay_history& aHistory)
+{
+  const auto rates = ReadRates(aTrace);
+  std::map<std::string, workspace_sums> sums;
+  for (const request_record& request : aHistory.mRequests) {
+    const auto rate = rates.find(request.mWorkspace);
+    if (!IsCallers(request) || rate == rates.end()) {
+      continue;
+    }
+    const auto [perSecond, burst] = rate->second;
+    workspace_sums& sum = sums.try_emplace(request.mWorkspace).first->second;
+    const double passed = static_cast<double>((request.mSentAt - sum.mLevelAt).count()) / 1e6;
+    const bool isFirst = sum.mLevelAt.count() == 0;
+    sum.mLevel = isFirst ? burst : std::min(burst, sum.mLevel + passed * perSecond);
+    sum.mLevelAt = request.mSentAt;
+    if (sum.mLevel < 1) {
+      continue;
+    }
+    sum.mLevel -= 1;
+    ++sum.mInside;
+    if (request.mStatus == 200) {
+      ++sum.mAnswered;
+      sum.mLatencies.push_back(GetLatency(request));
+    }
+    const bool isRefused =
+      request.mOutcome == "not_run" &&
+      (request.mStatus == 429 || request.mStatus == 503 || request.mStatus == 504);
+    sum.mRefused += isRefused ? 1 : 0;
+  }
+  boost::json::object worst;
+  double worstShare = 2;
+  double worstLatency = 0;
+  std::int64_t refused = 0;
+  std::int64_t inside = 0;
+  for (const auto& [workspace, sum] : sums) {
+    refused += sum.mRefused;
+    inside += sum.mInside;
+    const double share = static_cast<double>(sum.mAnswered) / static_cast<double>(sum.mInside);
+    const double latency = FindQuantile(sum.mLatencies, 0.99);
+    if (share < worstShare || (share == worstShare && latency > worstLatency)) {
+      worstShare = share;
+      worstLatency = latency;
+      worst = { { "workspace", workspace },
+                { "answered_share", Round(share) },
+                { "p99_ms", Round(latency) } };
+    }
+  }
+  const boost::json::object document{ { "trace", aTrace.mName },
+                                      { "latency_ms", MeasureLatency(aHistory) },
+                                      { "headroom", MeasureHeadroom(aTrace, aHistory) },
+                                      { "drain_ms", MeasureDrains(aTrace, aHistory) },
+                                      { "worst_workspace", worst },
+                                      { "refused_inside_rate",
+                                        { { "refused", refused }, { "inside_rate", inside } } } };
+  return boost::json::serialize(document);
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/tests/replay/trace_test.cpp
@@ -0,0 +1,55 @@
+#include "citronpulley/replay/trace.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronpulley;
+
+namespace {
+
+const std::string kHead =
+  R"({"declare":"trace","name":"t","description":"d","synthetic":true,"ends_ms":1000})"
+  "\n"
+  R"({"declare":"vm","name":"entry","role":"entry","zone":"a","region":"r","count":2})"
+  "\n";
+
+std::vector<std::string> ReadFaults(const std::string& aLine)
+{
+  std::vector<std::string> faults;
+  ReadTrace(kHead + aLine + "\n", "file", ".", faults);
+  return faults;
+}
+
+} // namespace
+
+TEST_GROUP(trace){};
+
+/** Guards against a trace whose misspelt line is passed over and checks nothing. */
+TEST(trace, reports_unknown_kinds_and_keys_with_file_and_line)
+{
+  STRCMP_EQUAL("file:3: unknown event \"explode\"",
+               ReadFaults(R"({"event":"explode","at_ms":1})").at(0).c_str());
+  STRCMP_EQUAL("file:3: unknown expect \"luck\"", ReadFaults(R"({"expect":"luck"})").at(0).c_str());
+  STRCMP_EQUAL("file:3: unknown key \"vmm\"",
+               ReadFaults(R"({"event":"kill","at_ms":1,"vm":"entry-1","vmm":"x"})").at(0).c_str());
+  STRCMP_EQUAL("file:3: the line has none of the keys declare, event and expect",
+               ReadFaults(R"({"name":"x"})").at(0).c_str());
+}
+
+/** Guards against a value of the wrong type, a missing key or a bound that is never checked. */
+TEST(trace, reports_wrong_types_missing_keys_and_missing_bounds)
+{
+  STRCMP_EQUAL("file:3: \"at_ms\" must be a number of 0 or more",
+               ReadFaults(R"({"event":"kill","at_ms":-1,"vm":"entry-1"})").at(0).c_str());
+  STRCMP_EQUAL("file:3: the key \"vm\" is missing",
+               ReadFaults(R"({"event":"kill","at_ms":1})").at(0).c_str());
+  STRCMP_EQUAL("file:3: the outcome states no bound",
+               ReadFaults(R"({"expect":"runs","path":"/"})").at(0).c_str());
+}
+
+/** Guards against an outcome about a request or VM that the trace does not have. */
+TEST(trace, reports_names_that_stand_for_nothing)
+{
+  LONGS_EQUAL(1, ReadFaults(R"({"expect":"answer","request":"none","status":200})").size());
+  LONGS_EQUAL(1, ReadFaults(R"({"event":"kill","at_ms":1,"vm":"entry-3"})").size());
+  LONGS_EQUAL(0, ReadFaults(R"({"event":"kill","at_ms":1,"vm":"entry-2"})").size());
+}
