--- /dev/null
+++ b/src/programs/citronpulley_replay.cpp
@@ -0,0 +1,121 @@
+#include "citronpulley/replay/replay.h"
+#include "citronpulley/routing/routing_policy.h"
+#include "citronpulley/runtime/daemon_options.h"
+#include "citronpulley/runtime/node_runner.h"
+
+#include <cxxopts.hpp>
+#include <sodium.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <iostream>
+
+using namespace citronpulley;
+
+namespace {
+
+struct replay_options
+{
+  std::string mFolder;
+  std::string mPolicy;
+  bool mIsMeasuring = false;
+};
+
+/** @return exit code for one trace */
+int Replay(const std::string& aFile, const replay_options& aOptions)
+{
+  const result<std::string> text = ReadFile(aFile);
+  if (!text) {
+    std::cout << aFile << ": " << text.GetError().mMessage << "\n";
+    return ExitFailure;
+  }
+  std::vector<std::string> faults;
+  const std::optional<trace> content = ReadTrace(text.Get(), aFile, aOptions.mFolder, faults);
+  if (!content) {
+    for (const std::string& fault : faults) {
+      std::cout << fault << "\n";
+    }
+    return ExitFailure;
+  }
+  const result<replay_history> history = RunTrace(*content, aOptions.mPolicy);
+  if (!history) {
+    std::cout << aFile << ": " << history.GetError().mMessage << "\n";
+    return ExitFailure;
+  }
+  if (aOptions.mIsMeasuring) {
+    std::cout << MeasureHistory(*content, history.Get()) << "\n";
+    return ExitSuccess;
+  }
+  const judgement verdict = JudgeHistory(*content, history.Get());
+  std::cout << content->mName << ": " << verdict.mOutcomes << " outcomes checked, "
+            << history.Get().mRequests.size() << " requests, " << history.Get().mRuns.size()
+            << " runs, "
+            << (verdict.mDifferences.empty()
+                  ? "as stated"
+                  : std::to_string(verdict.mDifferences.size()) + " differences")
+            << "\n";
+  for (const std::string& difference : verdict.mDifferences) {
+    std::cout << "  " << difference << "\n";
+  }
+  return verdict.mDifferences.empty() ? ExitSuccess : ExitFailure;
+}
+
+std::vector<std::string> ListTraces(const std::filesystem::path& aFolder)
+{
+  std::vector<std::string> files;
+  for (const auto& file : std::filesystem::directory_iterator(aFolder / "traces")) {
+    if (file.path().extension() == ".jsonl") {
+      const std::filesystem::path name = "traces" / file.path().filename();
+      files.push_back(aFolder == "." ? name.string() : (aFolder / name).string());
+    }
+  }
+  std::sort(files.begin(), files.end());
+  return files;
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  if (sodium_init() < 0) {
+    return ExitFailure;
+  }
+  cxxopts::Options options("citronpulley_replay", "Replays recorded traces in virtual time.");
+  options.add_options()("files",
+                        "traces; all of traces/ when none is given",
+                        cxxopts::value<std::vector<std::string>>())(
+    "folder", "folder of the repository", cxxopts::value<std::string>()->default_value("."))(
+    "policy",
+    "routing policy that replaces the one of the operators' texts",
+    cxxopts::value<std::string>()->default_value(""))(
+    "measure", "print the five measures as JSON instead of checking outcomes")("help",
+                                                                               "print this text");
+  options.parse_positional({ "files" });
+  options.positional_help("[FILE...]");
+  try {
+    const cxxopts::ParseResult parsed = options.parse(aCount, aArguments);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help();
+      return ExitSuccess;
+    }
+    const replay_options wanted{ parsed["folder"].as<std::string>(),
+                                 parsed["policy"].as<std::string>(),
+                                 parsed.count("measure") > 0 };
+    if (!wanted.mPolicy.empty() &&
+        routing_policy_registry::Instance().Make(wanted.mPolicy) == nullptr) {
+      std::cerr << "no routing policy has the name " << wanted.mPolicy << "\n";
+      return ExitUsage;
+    }
+    const std::vector<std::string> files = parsed.count("files") > 0
+                                             ? parsed["files"].as<std::vector<std::string>>()
+                                             : ListTraces(wanted.mFolder);
+    int exitCode = ExitSuccess;
+    for (const std::string& file : files) {
+      exitCode = std::max(exitCode, Replay(file, wanted));
+    }
+    return exitCode;
+  } catch (const std::exception& failure) {
+    std::cerr << failure.what() << "\n";
+    return ExitUsage;
+  }
+}
