Report events of a trace that can never happen

Cause: a resend before its first sending, an event after the end, a load on no entry VM or a second trace line were passed over, so that a trace could check less than it says. Ruled out: faults at run time, since a fault with file and line is found before anything runs. Change: the reader reports them; places are checked for the kind that the key needs. Conclusion: every line of a trace takes effect or is a fault.

--- a/src/citronpulley/replay/trace.cpp
+++ b/src/citronpulley/replay/trace.cpp
@@ -118,6 +118,9 @@
     } else if (aFamily == "expect") {
       mTrace.mOutcomes.push_back(std::move(aEntry));
     } else if (aEntry.GetKind() == "trace") {
+      if (!mTrace.mName.empty()) {
+        Report("the trace is declared twice");
+      }
       mTrace.mName = aEntry.GetText("name");
       mTrace.mSeed = static_cast<std::uint64_t>(aEntry.GetInteger("seed", 1));
       mTrace.mEndsAt = aEntry.GetTime("ends_ms");
@@ -295,11 +298,13 @@
     std::set<std::string> groups;
     std::set<std::string> cuts;
     std::set<std::string> keys;
+    std::map<std::string, microseconds> sentAt;
     for (const trace_entry& event : mTrace.mEvents) {
       mLine = event.GetLine();
       if (event.Has("id") && !requests.insert(event.GetText("id")).second) {
         Report("the id is used twice");
       }
+      sentAt.emplace(event.GetText("id"), event.GetTime("at_ms"));
       groups.insert(event.GetText("group"));
       if (event.GetKind() == "cut") {
         cuts.insert(event.GetText("name"));
@@ -320,6 +325,7 @@
                     event.GetText("key").find('_') == std::string::npos);
       }
       CheckChoice(event);
+      CheckTime(event, sentAt);
     }
     for (const trace_entry& outcome : mTrace.mOutcomes) {
       CheckEntry(outcome, requests, groups);
@@ -354,12 +360,25 @@
       }
     }
     for (const char* key : { "vms", "servers", "from", "to", "between", "failover" }) {
-      if (aEntry.Has(key) && aEntry.GetFields().at(key).is_array()) {
-        for (const std::string& name : aEntry.GetList(key)) {
-          CheckName(aEntry, key, IsPlace(name));
-        }
+      if (!aEntry.Has(key) || !aEntry.GetFields().at(key).is_array()) {
+        continue;
+      }
+      const std::string_view name = key;
+      const bool needsVm = name == "failover" || name == "between";
+      for (const std::string& place : aEntry.GetList(key)) {
+        const bool isKnown = name == "vms"       ? !mTrace.FindEntryVms(place).empty()
+                             : name == "servers" ? !mTrace.FindServers(place).empty()
+                             : needsVm           ? IsVm(place)
+                                                 : IsPlace(place);
+        CheckName(aEntry, key, isKnown);
       }
     }
+    if (aEntry.GetKind() == "silence" && aEntry.GetList("between").size() != 2) {
+      Report("\"between\" must name two VMs");
+    }
+    if (aEntry.GetNumber("quantile", 0) > 1) {
+      Report("\"quantile\" must be a number from 0 to 1");
+    }
     const bool isBounded = aEntry.Has("at_most") || aEntry.Has("at_least") ||
                            aEntry.Has("at_most_ratio") || aEntry.Has("at_least_ratio");
     if ((aEntry.GetKind() == "runs" || aEntry.GetKind() == "group") && !isBounded) {
@@ -367,6 +386,18 @@
     }
   }
 
+  /** An event that can never happen would check nothing. */
+  void CheckTime(const trace_entry& aEvent, const std::map<std::string, microseconds>& aSentAt)
+  {
+    if (aEvent.GetTime("at_ms") > mTrace.mEndsAt) {
+      Report("the event is later than the end of the trace");
+    }
+    const auto first = aSentAt.find(aEvent.GetText("of"));
+    if (aEvent.Has("of") && first != aSentAt.end() && first->second >= aEvent.GetTime("at_ms")) {
+      Report("the request that is sent again is not sent before");
+    }
+  }
+
   void CheckChoice(const trace_entry& aEvent)
   {
     static const std::map<std::string, std::set<std::string>> sChoices{
--- a/tests/replay/trace_test.cpp
+++ b/tests/replay/trace_test.cpp
@@ -52,4 +52,18 @@
   LONGS_EQUAL(1, ReadFaults(R"({"expect":"answer","request":"none","status":200})").size());
   LONGS_EQUAL(1, ReadFaults(R"({"event":"kill","at_ms":1,"vm":"entry-3"})").size());
   LONGS_EQUAL(0, ReadFaults(R"({"event":"kill","at_ms":1,"vm":"entry-2"})").size());
+  LONGS_EQUAL(1, ReadFaults(R"({"event":"server_start","at_ms":1,"servers":["entry-2"]})").size());
+  LONGS_EQUAL(1, ReadFaults(R"({"event":"silence","at_ms":1,"between":["entry-1"]})").size());
+}
+
+/** Guards against events that silently never happen. */
+TEST(trace, reports_events_after_the_end_and_resends_before_the_first_sending)
+{
+  STRCMP_EQUAL("file:3: the event is later than the end of the trace",
+               ReadFaults(R"({"event":"kill","at_ms":1001,"vm":"entry-1"})").at(0).c_str());
+  const std::vector<std::string> faults =
+    ReadFaults(R"({"event":"request","at_ms":9,"id":"a","vm":"entry-1","path":"/"})"
+               "\n"
+               R"({"event":"resend","at_ms":8,"id":"b","of":"a"})");
+  STRCMP_EQUAL("file:4: the request that is sent again is not sent before", faults.at(0).c_str());
 }
