Count refusals inside the rate by number, not by request

Cause: for a workspace over its rate, the measure took each refusal as wrong when a bucket had a token at that moment, although the system may serve another request of the same second. Ruled out: leaving such workspaces out, which would hide a system that serves less than the rate. Change: refused inside the rate are the requests that the bucket had room for less the answered ones. Conclusion: the measure no longer depends on the choice among excess requests.

--- a/src/citronpulley/replay/replay_measures.cpp
+++ b/src/citronpulley/replay/replay_measures.cpp
@@ -134,6 +134,7 @@
 
 struct workspace_sums
 {
+  /** Requests for which a bucket with the workspace's rate and burst had a token. */
   std::int64_t mInside = 0;
   std::int64_t mAnswered = 0;
   std::int64_t mRefused = 0;
@@ -159,11 +160,10 @@
     const bool isFirst = sum.mLevelAt.count() == 0;
     sum.mLevel = isFirst ? burst : std::min(burst, sum.mLevel + passed * perSecond);
     sum.mLevelAt = request.mSentAt;
-    if (sum.mLevel < 1) {
-      continue;
+    if (sum.mLevel >= 1) {
+      sum.mLevel -= 1;
+      ++sum.mInside;
     }
-    sum.mLevel -= 1;
-    ++sum.mInside;
     if (request.mStatus == 200) {
       ++sum.mAnswered;
       sum.mLatencies.push_back(GetLatency(request));
@@ -179,9 +179,11 @@
   std::int64_t refused = 0;
   std::int64_t inside = 0;
   for (const auto& [workspace, sum] : sums) {
-    refused += sum.mRefused;
+    // Which requests of a workspace over its rate are refused is open; their number is not.
+    refused += std::min(sum.mRefused, std::max<std::int64_t>(0, sum.mInside - sum.mAnswered));
     inside += sum.mInside;
-    const double share = static_cast<double>(sum.mAnswered) / static_cast<double>(sum.mInside);
+    const double share =
+      std::min(1.0, static_cast<double>(sum.mAnswered) / static_cast<double>(sum.mInside));
     const double latency = FindQuantile(sum.mLatencies, 0.99);
     if (share < worstShare || (share == worstShare && latency > worstLatency)) {
       worstShare = share;
