Measure headroom by service

Cause: the free part of all slots of a region hides a service that is full, as servers of one service cannot serve another. Ruled out: an object for each service, which would make runs of several policies harder to compare. Change: least is the least free part of any service of the region in any second; the mean is as before. Conclusion: the measure shows the fullest service.

--- a/src/citronpulley/replay/replay_measures.cpp
+++ b/src/citronpulley/replay/replay_measures.cpp
@@ -64,38 +64,48 @@
            { "max", Round(FindQuantile(values, 1)) } };
 }
 
-/** Least free part of the slots of any region in any second. */
+/** Free part of the slots of each region: the least of any service in any second, and the mean. */
 boost::json::object MeasureHeadroom(const trace& aTrace, const replay_history& aHistory)
 {
-  std::map<std::string, double> slots;
+  constexpr std::int64_t kSecond = 1'000'000;
+  using pool = std::pair<std::string, std::string>;
+  std::map<pool, double> slots;
   for (const trace_server& server : aTrace.mServers) {
-    slots[server.mRegion] += static_cast<double>(server.mSlots);
+    slots[{ server.mRegion, server.mService }] += static_cast<double>(server.mSlots);
   }
-  constexpr std::int64_t kSecond = 1'000'000;
-  std::map<std::pair<std::string, std::int64_t>, double> busy;
+  std::map<std::pair<pool, std::int64_t>, double> busy;
   for (const run_record& run : aHistory.mRuns) {
     std::int64_t from = run.mStartedAt.count();
     while (from < run.mEndedAt.count()) {
       const std::int64_t to = std::min(run.mEndedAt.count(), (from / kSecond + 1) * kSecond);
-      busy[{ run.mRegion, from / kSecond }] += static_cast<double>(to - from) / kSecond;
+      busy[{ { run.mRegion, run.mService }, from / kSecond }] +=
+        static_cast<double>(to - from) / kSecond;
       from = to;
     }
   }
-  boost::json::object regions;
-  for (const auto& [region, count] : slots) {
-    double most = 0;
-    double sum = 0;
-    for (const auto& [place, used] : busy) {
-      if (place.first == region) {
-        most = std::max(most, used);
-        sum += used;
-      }
-    }
-    const double seconds = static_cast<double>(aTrace.mEndsAt.count()) / kSecond;
-    regions[region] = boost::json::object{ { "least", Round(1 - most / count) },
-                                           { "mean", Round(1 - sum / seconds / count) } };
+  struct region_sums
+  {
+    double mSlots = 0;
+    double mBusy = 0;
+    double mLeast = 1;
+  };
+  std::map<std::string, region_sums> regions;
+  for (const auto& [place, count] : slots) {
+    regions[place.first].mSlots += count;
+  }
+  for (const auto& [second, used] : busy) {
+    region_sums& region = regions[second.first.first];
+    region.mBusy += used;
+    region.mLeast = std::min(region.mLeast, 1 - used / slots[second.first]);
+  }
+  const double seconds = static_cast<double>(aTrace.mEndsAt.count()) / kSecond;
+  boost::json::object headroom;
+  for (const auto& [name, region] : regions) {
+    headroom[name] =
+      boost::json::object{ { "least", Round(region.mLeast) },
+                           { "mean", Round(1 - region.mBusy / seconds / region.mSlots) } };
   }
-  return regions;
+  return headroom;
 }
 
 /** Time from each drain, leave or stop to the end of the last run that was under way or began. */
