Report outcomes of a trace that select nothing

Cause: a misspelt workspace, service, idempotency key, code or outcome selected nothing, and its upper bound held. Ruled out: a fault for each empty selection, since "no run after a time" must select nothing. Conclusion: a misspelt outcome is a fault with file and line.

--- /dev/null
+++ b/src/citronpulley/replay/trace_reader.cpp
@@ -0,0 +1,463 @@
+#include "citronpulley/replay/trace.h"
+
+#include "citronpulley/replay/trace_rules.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace citronpulley {
+
+namespace {
+
+/** Reader of one trace. */
+class trace_reader
+{
+public:
+  trace_reader(const std::string& aFile,
+               const std::string& aFolder,
+               std::vector<std::string>& aFaults)
+    : mFolder(aFolder)
+    , mFaults(aFaults)
+  {
+    mTrace.mFile = aFile;
+  }
+
+  std::optional<trace> Read(const std::string& aText)
+  {
+    const std::size_t faultsBefore = mFaults.size();
+    std::istringstream lines(aText);
+    std::string line;
+    for (mLine = 1; std::getline(lines, line); ++mLine) {
+      if (!line.empty()) {
+        ReadLine(line);
+      }
+    }
+    if (mTrace.mName.empty()) {
+      mLine = 1;
+      Report("no line declares the trace");
+    }
+    LocateServers();
+    CheckReferences();
+    if (mFaults.size() != faultsBefore) {
+      return std::nullopt;
+    }
+    return std::move(mTrace);
+  }
+
+private:
+  void Report(const std::string& aFault)
+  {
+    mFaults.push_back(mTrace.mFile + ":" + std::to_string(mLine) + ": " + aFault);
+  }
+
+  void ReadLine(const std::string& aLine)
+  {
+    boost::system::error_code failure;
+    const boost::json::value document = boost::json::parse(aLine, failure);
+    if (failure || !document.is_object()) {
+      Report("the line is not a JSON object");
+      return;
+    }
+    const boost::json::object& fields = document.get_object();
+    for (const auto& [family, kinds] : GetTraceRules()) {
+      const boost::json::value* name = fields.if_contains(family);
+      if (name == nullptr) {
+        continue;
+      }
+      const auto rules =
+        name->is_string() ? kinds.find(std::string_view(name->get_string())) : kinds.end();
+      if (rules == kinds.end()) {
+        Report("unknown " + family + " " + boost::json::serialize(*name));
+        return;
+      }
+      if (CheckFields(fields, family, rules->second)) {
+        Take(family, trace_entry(mLine, rules->first, fields));
+      }
+      return;
+    }
+    Report("the line has none of the keys declare, event and expect");
+  }
+
+  bool CheckFields(const boost::json::object& aFields,
+                   const std::string& aFamily,
+                   const std::string& aRules)
+  {
+    field_rules rules = ParseFieldRules(aRules);
+    rules[aFamily] = { 't', true };
+    if (aFamily == "event") {
+      rules["at_ms"] = { 'n', true };
+    }
+    bool isRight = true;
+    for (const auto& field : aFields) {
+      const auto rule = rules.find(std::string_view(field.key()));
+      if (rule == rules.end()) {
+        Report("unknown key \"" + std::string(field.key()) + "\"");
+        isRight = false;
+      } else if (!IsOfType(field.value(), rule->second.mType)) {
+        Report("\"" + std::string(field.key()) + "\" must be " + DescribeType(rule->second.mType));
+        isRight = false;
+      }
+    }
+    for (const auto& [key, rule] : rules) {
+      if (rule.mIsRequired && !aFields.contains(key)) {
+        Report("the key \"" + key + "\" is missing");
+        isRight = false;
+      }
+    }
+    return isRight;
+  }
+
+  void Take(const std::string& aFamily, trace_entry aEntry)
+  {
+    if (aFamily == "event") {
+      mTrace.mEvents.push_back(std::move(aEntry));
+    } else if (aFamily == "expect") {
+      mTrace.mOutcomes.push_back(std::move(aEntry));
+    } else if (aEntry.GetKind() == "trace") {
+      if (!mTrace.mName.empty()) {
+        Report("the trace is declared twice");
+      }
+      mTrace.mName = aEntry.GetText("name");
+      mTrace.mSeed = static_cast<std::uint64_t>(aEntry.GetInteger("seed", 1));
+      mTrace.mEndsAt = aEntry.GetTime("ends_ms");
+      mTrace.mStartsAt.mMilliseconds = aEntry.GetInteger("start_unix_ms", 1'750'000'000'000);
+    } else if (aEntry.GetKind() == "text") {
+      TakeText(aEntry);
+    } else if (aEntry.GetKind() == "vm") {
+      TakeVm(aEntry);
+    } else if (aEntry.GetKind() == "server") {
+      TakeServer(aEntry);
+    } else {
+      TakeDelays(aEntry);
+    }
+  }
+
+  void TakeText(const trace_entry& aEntry)
+  {
+    std::string text;
+    for (const std::string& line : aEntry.GetList("prepend")) {
+      text += line + "\n";
+    }
+    if (aEntry.Has("of")) {
+      const auto found = mTrace.mTexts.find(aEntry.GetText("of"));
+      if (found == mTrace.mTexts.end()) {
+        Report("no text \"" + aEntry.GetText("of") + "\" is declared above");
+        return;
+      }
+      text += found->second;
+    }
+    if (aEntry.Has("file")) {
+      std::ifstream file(mFolder + "/" + aEntry.GetText("file"), std::ios::binary);
+      std::ostringstream content;
+      content << file.rdbuf();
+      if (!file) {
+        Report("the file " + aEntry.GetText("file") + " cannot be read");
+      }
+      text += content.str();
+    }
+    for (const std::string& line : aEntry.GetList("lines")) {
+      text += line + "\n";
+    }
+    const std::vector<std::string> replaced = aEntry.GetList("replace");
+    if (replaced.size() % 2 != 0) {
+      Report("\"replace\" must hold pairs of an old and a new text");
+      return;
+    }
+    for (std::size_t index = 0; index + 1 < replaced.size(); index += 2) {
+      Replace(text, replaced[index], replaced[index + 1]);
+    }
+    mTrace.mTexts[aEntry.GetText("name")] = std::move(text);
+  }
+
+  void Replace(std::string& aText, const std::string& aOld, const std::string& aNew)
+  {
+    std::size_t position = aOld.empty() ? std::string::npos : aText.find(aOld);
+    if (position == std::string::npos) {
+      Report("the text does not contain \"" + aOld + "\"");
+    }
+    while (position != std::string::npos) {
+      aText.replace(position, aOld.size(), aNew);
+      position = aText.find(aOld, position + aNew.size());
+    }
+  }
+
+  template<typename Add>
+  void AddCounted(const trace_entry& aEntry, const Add& aAdd)
+  {
+    const std::string name = aEntry.GetText("name");
+    if (!aEntry.Has("count")) {
+      aAdd(name);
+    }
+    for (std::int64_t number = 1; number <= aEntry.GetInteger("count", 0); ++number) {
+      aAdd(name + "-" + std::to_string(number));
+    }
+  }
+
+  void CheckNew(const std::string& aName)
+  {
+    if (!mNames.insert(aName).second) {
+      Report("\"" + aName + "\" is declared twice");
+    }
+  }
+
+  void TakeVm(const trace_entry& aEntry)
+  {
+    const std::string role = aEntry.GetText("role");
+    if (role != "entry" && role != "control") {
+      Report("\"role\" must be entry or control");
+    }
+    AddCounted(aEntry, [&](const std::string& aName) {
+      CheckNew(aName);
+      mTrace.mVms.push_back({ aName,
+                              aEntry.GetText("name"),
+                              aEntry.GetText("zone"),
+                              aEntry.GetText("region"),
+                              role == "control" });
+    });
+  }
+
+  void TakeServer(const trace_entry& aEntry)
+  {
+    AddCounted(aEntry, [&](const std::string& aName) {
+      CheckNew(aName);
+      mTrace.mServers.push_back({ aName,
+                                  aEntry.GetText("name"),
+                                  aEntry.GetText("service"),
+                                  aEntry.GetText("zone"),
+                                  "",
+                                  aEntry.GetInteger("slots", 1),
+                                  aEntry.GetTime("service_time_ms"),
+                                  aEntry.GetTime("cold_ms"),
+                                  aEntry.GetNumber("cold_factor", 1) });
+    });
+  }
+
+  void TakeDelays(const trace_entry& aEntry)
+  {
+    trace_delays& delays = mTrace.mDelays;
+    if (aEntry.GetKind() == "link") {
+      const std::vector<std::string> pair = aEntry.GetList("between");
+      if (pair.size() != 2) {
+        Report("\"between\" must name two regions");
+        return;
+      }
+      delays.mRegionPairs[{ pair[0], pair[1] }] = aEntry.GetTime("one_way_ms");
+      delays.mRegionPairs[{ pair[1], pair[0] }] = aEntry.GetTime("one_way_ms");
+      return;
+    }
+    delays.mSameZone = aEntry.GetTime("same_zone_ms", 0.25);
+    delays.mBetweenZones = aEntry.GetTime("zone_ms", 1.5);
+    delays.mBetweenRegions = aEntry.GetTime("region_ms", 20);
+    delays.mClient = aEntry.GetTime("client_ms", 1);
+    delays.mServer = aEntry.GetTime("server_ms", 0.25);
+  }
+
+  void LocateServers()
+  {
+    for (trace_server& server : mTrace.mServers) {
+      const auto vm = std::find_if(mTrace.mVms.begin(), mTrace.mVms.end(), [&](const auto& aVm) {
+        return aVm.mZone == server.mZone && !aVm.mIsControl;
+      });
+      if (vm == mTrace.mVms.end()) {
+        Report("the zone of the server \"" + server.mName + "\" has no entry VM");
+        continue;
+      }
+      server.mRegion = vm->mRegion;
+    }
+  }
+
+  bool IsPlace(const std::string& aName) const
+  {
+    return std::any_of(mTrace.mVms.begin(),
+                       mTrace.mVms.end(),
+                       [&](const auto& aVm) { return trace::IsNamed(aVm, aName); }) ||
+           !mTrace.FindServers(aName).empty();
+  }
+
+  bool IsVm(const std::string& aName) const
+  {
+    return std::any_of(
+      mTrace.mVms.begin(), mTrace.mVms.end(), [&](const auto& aVm) { return aVm.mName == aName; });
+  }
+
+  void CheckName(const trace_entry& aEntry, const char* aKey, bool aIsKnown)
+  {
+    if (!aIsKnown) {
+      Report("\"" + std::string(aKey) + "\" names something that the trace does not have: " +
+             boost::json::serialize(aEntry.GetFields().at(aKey)));
+    }
+  }
+
+  void CheckReferences()
+  {
+    std::set<std::string> requests;
+    std::set<std::string> groups;
+    std::set<std::string> cuts;
+    std::set<std::string> keys;
+    std::map<std::string, microseconds> sentAt;
+    for (const trace_entry& event : mTrace.mEvents) {
+      mLine = event.GetLine();
+      if (event.Has("id") && !requests.insert(event.GetText("id")).second) {
+        Report("the id is used twice");
+      }
+      sentAt.emplace(event.GetText("id"), event.GetTime("at_ms"));
+      groups.insert(event.GetText("group"));
+      if (event.GetKind() == "cut") {
+        cuts.insert(event.GetText("name"));
+      }
+      if (event.GetKind() == "give_key") {
+        keys.insert(event.GetText("key"));
+      }
+    }
+    for (const trace_entry& event : mTrace.mEvents) {
+      CheckEntry(event, requests, groups);
+      if (event.Has("cut")) {
+        CheckName(event, "cut", cuts.contains(event.GetText("cut")));
+      }
+      if (event.Has("key")) {
+        CheckName(event,
+                  "key",
+                  keys.contains(event.GetText("key")) &&
+                    event.GetText("key").find('_') == std::string::npos);
+      }
+      CheckChoice(event);
+      CheckTime(event, sentAt);
+    }
+    for (const trace_entry& outcome : mTrace.mOutcomes) {
+      CheckEntry(outcome, requests, groups);
+      CheckSelection(outcome);
+    }
+  }
+
+  /** A misspelt name in an outcome would select nothing, and its upper bound would always hold. */
+  void CheckSelection(const trace_entry& aOutcome)
+  {
+    const auto isUsed = [&](const char* aKey, const char* aKind) {
+      return std::any_of(mTrace.mEvents.begin(), mTrace.mEvents.end(), [&](const auto& aEvent) {
+        return aEvent.GetKind() == aKind && aEvent.GetText(aKey) == aOutcome.GetText(aKey);
+      });
+    };
+    if (aOutcome.Has("workspace")) {
+      CheckName(aOutcome, "workspace", isUsed("workspace", "give_key"));
+    }
+    if (aOutcome.Has("idempotency_key")) {
+      CheckName(aOutcome, "idempotency_key", isUsed("idempotency_key", "request"));
+    }
+    if (aOutcome.Has("service")) {
+      const std::string service = aOutcome.GetText("service");
+      CheckName(aOutcome,
+                "service",
+                std::any_of(mTrace.mServers.begin(),
+                            mTrace.mServers.end(),
+                            [&](const auto& aServer) { return aServer.mService == service; }));
+    }
+    if (aOutcome.Has("code")) {
+      CheckName(aOutcome, "code", IsKnownCode(aOutcome.GetText("code")));
+    }
+    if (aOutcome.Has("outcome")) {
+      const std::string outcome = aOutcome.GetText("outcome");
+      CheckName(
+        aOutcome, "outcome", outcome.empty() || outcome == "not_run" || outcome == "unknown");
+    }
+  }
+
+  void CheckEntry(const trace_entry& aEntry,
+                  const std::set<std::string>& aRequests,
+                  const std::set<std::string>& aGroups)
+  {
+    mLine = aEntry.GetLine();
+    for (const char* key : { "request", "of", "same_body_as" }) {
+      if (aEntry.Has(key)) {
+        CheckName(aEntry, key, aRequests.contains(aEntry.GetText(key)));
+      }
+    }
+    if (aEntry.GetKind() == "request" && !aEntry.Has("vm")) {
+      Report("the key \"vm\" is missing");
+    }
+    if (aEntry.Has("group") && aEntry.GetFields().contains("expect")) {
+      CheckName(aEntry, "group", aGroups.contains(aEntry.GetText("group")));
+    }
+    if (aEntry.Has("vm")) {
+      CheckName(aEntry, "vm", IsVm(aEntry.GetText("vm")));
+    }
+    if (aEntry.Has("text")) {
+      CheckName(aEntry, "text", mTrace.mTexts.contains(aEntry.GetText("text")));
+    }
+    for (const char* key : { "server", "zone", "region" }) {
+      if (aEntry.Has(key)) {
+        CheckName(aEntry, key, IsPlace(aEntry.GetText(key)));
+      }
+    }
+    for (const char* key : { "vms", "servers", "from", "to", "between", "failover" }) {
+      if (!aEntry.Has(key) || !aEntry.GetFields().at(key).is_array()) {
+        continue;
+      }
+      const std::string_view name = key;
+      const bool needsVm = name == "failover" || name == "between";
+      for (const std::string& place : aEntry.GetList(key)) {
+        const bool isKnown = name == "vms"       ? !mTrace.FindEntryVms(place).empty()
+                             : name == "servers" ? !mTrace.FindServers(place).empty()
+                             : needsVm           ? IsVm(place)
+                                                 : IsPlace(place);
+        CheckName(aEntry, key, isKnown);
+      }
+    }
+    if (aEntry.GetKind() == "silence" && aEntry.GetList("between").size() != 2) {
+      Report("\"between\" must name two VMs");
+    }
+    if (aEntry.GetNumber("quantile", 0) > 1) {
+      Report("\"quantile\" must be a number from 0 to 1");
+    }
+    const bool isBounded = aEntry.Has("at_most") || aEntry.Has("at_least") ||
+                           aEntry.Has("at_most_ratio") || aEntry.Has("at_least_ratio");
+    if ((aEntry.GetKind() == "runs" || aEntry.GetKind() == "group") && !isBounded) {
+      Report("the outcome states no bound");
+    }
+  }
+
+  /** An event that can never happen would check nothing. */
+  void CheckTime(const trace_entry& aEvent, const std::map<std::string, microseconds>& aSentAt)
+  {
+    if (aEvent.GetTime("at_ms") > mTrace.mEndsAt) {
+      Report("the event is later than the end of the trace");
+    }
+    const auto first = aSentAt.find(aEvent.GetText("of"));
+    if (aEvent.Has("of") && first != aSentAt.end() && first->second >= aEvent.GetTime("at_ms")) {
+      Report("the request that is sent again is not sent before");
+    }
+  }
+
+  void CheckChoice(const trace_entry& aEvent)
+  {
+    static const std::map<std::string, std::set<std::string>> sChoices{
+      { "server_behaviour", { "normal", "slow", "fail", "crash", "silent" } },
+      { "server_report", { "normal", "frozen", "fixed", "absent", "stopped" } }
+    };
+    const auto choices = sChoices.find(aEvent.GetKind());
+    if (choices != sChoices.end() && !choices->second.contains(aEvent.GetText("do"))) {
+      Report("unknown value of \"do\": \"" + aEvent.GetText("do") + "\"");
+    }
+  }
+
+  std::string mFolder;
+  std::vector<std::string>& mFaults;
+  trace mTrace;
+  std::set<std::string> mNames;
+  std::size_t mLine = 1;
+};
+
+} // namespace
+
+std::optional<trace> ReadTrace(const std::string& aText,
+                               const std::string& aFile,
+                               const std::string& aFolder,
+                               std::vector<std::string>& aFaults)
+{
+  return trace_reader(aFile, aFolder, aFaults).Read(aText);
+}
+
+} // namespace citronpulley
--- a/src/citronpulley/replay/trace_rules.cpp
+++ b/src/citronpulley/replay/trace_rules.cpp
@@ -1,8 +1,11 @@
 #include "citronpulley/replay/trace_rules.h"
 
+#include "citronpulley/base/error.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <set>
 #include <sstream>
 
 namespace citronpulley {
@@ -79,6 +82,19 @@
   return rules;
 }
 
+bool IsKnownCode(const std::string& aCode)
+{
+  static const std::set<std::string> sWithoutAnswer{ "no_connection",
+                                                     "connection_lost",
+                                                     "gave_up" };
+  for (int code = 0; code <= static_cast<int>(error_code::Internal); ++code) {
+    if (ToString(static_cast<error_code>(code)) == aCode) {
+      return true;
+    }
+  }
+  return sWithoutAnswer.contains(aCode);
+}
+
 bool IsOfType(const boost::json::value& aValue, char aType)
 {
   switch (aType) {
--- a/src/citronpulley/replay/trace_rules.h
+++ b/src/citronpulley/replay/trace_rules.h
@@ -36,6 +36,9 @@
 /** @return true when a value has the type that a rule names */
 bool IsOfType(const boost::json::value& aValue, char aType);
 
+/** @return true for the code of a rejection, of an answer or of a request without answer */
+bool IsKnownCode(const std::string& aCode);
+
 /** @return words for a type in a fault */
 std::string DescribeType(char aType);
 
--- a/tests/replay/trace_test.cpp
+++ b/tests/replay/trace_test.cpp
@@ -67,3 +67,15 @@
                R"({"event":"resend","at_ms":8,"id":"b","of":"a"})");
   STRCMP_EQUAL("file:4: the request that is sent again is not sent before", faults.at(0).c_str());
 }
+
+/** Guards against an upper bound on a selection that is empty because of a misspelt name. */
+TEST(trace, reports_selections_of_nothing)
+{
+  LONGS_EQUAL(1, ReadFaults(R"({"expect":"runs","idempotency_key":"x","at_most":1})").size());
+  LONGS_EQUAL(1, ReadFaults(R"({"expect":"runs","service":"x","at_most":1})").size());
+  LONGS_EQUAL(1, ReadFaults(R"({"expect":"runs","workspace":"x","at_most":1})").size());
+  const std::string request = R"({"event":"request","at_ms":9,"id":"a","vm":"entry-1","path":"/"})"
+                              "\n";
+  LONGS_EQUAL(1, ReadFaults(request + R"({"expect":"answer","request":"a","code":"x"})").size());
+  LONGS_EQUAL(1, ReadFaults(request + R"({"expect":"answer","request":"a","outcome":"x"})").size());
+}
