Drive control VMs with a disk in the replay

Cause: the control node now needs a disk and a group, and the replay drove it without either. Ruled out: a stand-in for the disk outside the driver; only the driver knows what outlives a restart. Change: control_vm_driver keeps the synced batches of each control VM and forms the group; up to 11 control VMs.

--- a/src/citronpulley/replay/control_vm_driver.h
+++ b/src/citronpulley/replay/control_vm_driver.h
@@ -6,6 +6,7 @@
 #include "citronpulley/node/node_events.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -37,21 +38,27 @@
   explicit control_vm_driver(control_vm_setup aSetup);
 
   /**
-   * Starts a run of the process. The present control node has no disk; it is kept over a restart
-   * as if its state had been stored.
+   * Starts a run of the process from what its disk holds. The first control VM of the trace forms
+   * the group, and the others join it.
    *
    * @param aIncarnation number of the run
+   * @param aNow present time of the VM
    */
-  void Start(incarnation aIncarnation);
+  void Start(incarnation aIncarnation, instant aNow);
 
   /** Handles an event; see control_node::Handle(). */
   void Handle(const node_event& aEvent, present_time aNow, node_actions& aActions);
 
   /** @return the largest number of control VMs that can be driven together */
-  static constexpr std::size_t GetMaxControlVms() noexcept { return 1; }
+  static constexpr std::size_t GetMaxControlVms() noexcept { return 11; }
 
 private:
+  void Store(const storage_batch& aBatch);
+
   control_vm_setup mSetup;
+  /** What is synced; batches that wait are lost with the process. */
+  recovered_member mDisk;
+  std::deque<storage_batch> mWaiting;
   std::unique_ptr<control_node> mNode;
 };
 
--- a/src/citronpulley/replay/virtual_hosts.cpp
+++ b/src/citronpulley/replay/virtual_hosts.cpp
@@ -108,7 +108,7 @@
     }
   }
   if (one.mControl != nullptr) {
-    one.mControl->Start(one.mRecord.mIncarnation);
+    one.mControl->Start(one.mRecord.mIncarnation, GetTime(aHost).mMonotonic);
   } else {
     std::stable_sort(
       controlVms.begin(), controlVms.end(), [&](const auto& aLeft, const auto& aRight) {
@@ -252,7 +252,9 @@
                 },
                 [](const write_log&) {},
                 [](const record_request&) {},
-                [](const set_gauge&) {} },
+                [](const set_gauge&) {},
+                // The driver of the control VM takes these.
+                [](const storage_batch&) {} },
     aAction);
 }
 
--- a/tests/routing/routing_policy_test.cpp
+++ b/tests/routing/routing_policy_test.cpp
@@ -3,6 +3,8 @@
 #include "citronpulley/node/control_node.h"
 
 #include <algorithm>
+#include <deque>
+#include <optional>
 #include <random>
 
 #include <CppUTest/TestHarness.h>
@@ -114,7 +116,38 @@
 /** Guards against a mistyped policy that is accepted and then silently replaced by another one. */
 TEST(routing_policy, text_with_an_unknown_policy_is_refused)
 {
-  control_node node(vm_name("c1"), "secret", "operator", 1);
+  recovered_member disk;
+  disk.mMember = member_id{ 1 };
+  disk.mVote.mTerm = 1;
+  disk.mEntries = { MakeFirstEntry(1, disk.mMember, vm_name("c1")) };
+  group_settings settings;
+  settings.mSelf = vm_name("c1");
+  settings.mControlVms = { settings.mSelf };
+  control_node node(settings, disk, "secret", "operator", { 1, 1, instant() });
+  present_time now;
+  // Handles an event and everything that follows from it, with a disk that syncs at once.
+  const auto handle = [&](node_event aEvent) {
+    std::optional<http_answer> answer;
+    std::deque<node_event> events{ std::move(aEvent) };
+    while (!events.empty()) {
+      node_actions actions;
+      node.Handle(events.front(), now, actions);
+      events.pop_front();
+      for (const node_action& action : actions) {
+        if (const auto* batch = std::get_if<storage_batch>(&action)) {
+          events.emplace_back(batch_stored{ batch->mNumber, false, {} });
+        }
+        if (const auto* reply = std::get_if<reply_to_client>(&action)) {
+          answer = reply->mAnswer;
+        }
+      }
+    }
+    return answer;
+  };
+  for (int tick = 0; tick < 400; ++tick) {
+    now.mMonotonic += microseconds(5'000);
+    handle(timer_ticked{});
+  }
   const auto submit = [&](const std::string& aPolicy) {
     http_request_received request{
       1, "POST", "/v1/config", { { "Authorization", "Bearer operator" } }
@@ -124,9 +157,7 @@
                     R"('\n[[regions]]\nname='n'\nzones=['n-a']\ncapacity_per_second=1\n)"
                     R"([[services]]\nname='s'\nshift_cap_percent_per_minute=1\n)"
                     R"([[services.routes]]\npath='/'\n"})";
-    node_actions actions;
-    node.Handle(request, {}, actions);
-    return std::get<reply_to_client>(actions.at(0)).mAnswer;
+    return handle(request).value();
   };
   const http_answer refusal = submit("nearest");
   LONGS_EQUAL(400, refusal.mStatus);
