Refuse a claim that arrives after its holder released it

Cause: a holder that gives up while its claim is still on the way releases a claim that the table does not know yet, or resends a claim that arrives after the release. The late claim was granted to a holder that has ended, and the key stayed claimed for the whole window: repeats of a request that never ran got `in_progress`. Ruled out: a second run. A finished holder never sends a request, and outcomes of earlier holders were ignored already. Change: a claim record keeps, for each VM, the last incarnation and request number that released it; a claim up to that number is not granted. A release of an unknown claim makes such a record. Conclusion: a released key stays free whatever the order of messages.

--- a/src/citronpulley/state/claim_table.cpp
+++ b/src/citronpulley/state/claim_table.cpp
@@ -35,6 +35,23 @@
   return reply;
 }
 
+bool IsOvertaken(const claim_record& aRecord, const claim_holder& aHolder)
+{
+  const auto released = aRecord.mReleasedBy.find(aHolder.mVm);
+  return released != aRecord.mReleasedBy.end() &&
+         std::pair(aHolder.mIncarnation, aHolder.mRequestNumber) <= released->second;
+}
+
+/** Marks the claims of a holder as over, whether they have arrived or not. */
+void Release(claim_record& aRecord, const claim_holder& aHolder)
+{
+  auto& last = aRecord.mReleasedBy[aHolder.mVm];
+  last = std::max(last, std::pair(aHolder.mIncarnation, aHolder.mRequestNumber));
+  if (aRecord.mHolder == aHolder && aRecord.mStage == claim_stage::Claimed) {
+    aRecord.mStage = claim_stage::Released;
+  }
+}
+
 } // namespace
 
 std::optional<unix_time> ReadIdempotencyKeyTime(std::string_view aKey) noexcept
@@ -73,21 +90,26 @@
   }
   const auto found = mClaims.find(aRequest.mKey);
   if (found == mClaims.end()) {
-    if (mClaims.size() >= kMaxClaims) {
+    claim_record* record = Insert(aRequest.mKey, *issued);
+    if (record == nullptr) {
       return MakeReply(aRequest, claim_verdict::TableFull);
     }
-    claim_record record;
-    record.mHolder = aRequest.mHolder;
-    record.mRequestDigest = aRequest.mRequestDigest;
-    mByKeyTime.emplace(issued->mMilliseconds, aRequest.mKey);
-    mClaims.emplace(aRequest.mKey, std::move(record));
+    record->mHolder = aRequest.mHolder;
+    record->mRequestDigest = aRequest.mRequestDigest;
     return MakeReply(aRequest, claim_verdict::Granted);
   }
   claim_record& record = found->second;
+  if (record.mRequestDigest == digest{}) {
+    // The record was made by a release that overtook its claim.
+    record.mRequestDigest = aRequest.mRequestDigest;
+  }
   if (record.mRequestDigest != aRequest.mRequestDigest) {
     return MakeReply(aRequest, claim_verdict::KeyReused);
   }
   if (record.mStage == claim_stage::Released) {
+    if (IsOvertaken(record, aRequest.mHolder)) {
+      return MakeReply(aRequest, claim_verdict::InProgress);
+    }
     record.mHolder = aRequest.mHolder;
     record.mStage = claim_stage::Claimed;
     return MakeReply(aRequest, claim_verdict::Granted);
@@ -107,15 +129,22 @@
 {
   claim_outcome_reply reply{ aOutcome.mKey, aOutcome.mHolder, true, {} };
   const auto found = mClaims.find(aOutcome.mKey);
+  if (aOutcome.mIsReleased) {
+    const std::optional<unix_time> issued = ReadIdempotencyKeyTime(aOutcome.mKey.mIdempotencyKey);
+    const bool isRefused = !issued || issued->mMilliseconds <= mRefusedUntil;
+    if (found != mClaims.end()) {
+      Release(found->second, aOutcome.mHolder);
+    } else if (claim_record* record = isRefused ? nullptr : Insert(aOutcome.mKey, *issued)) {
+      record->mStage = claim_stage::Released;
+      Release(*record, aOutcome.mHolder);
+    }
+    return reply;
+  }
   if (found == mClaims.end() || found->second.mHolder != aOutcome.mHolder ||
       found->second.mStage != claim_stage::Claimed) {
     return reply;
   }
   claim_record& record = found->second;
-  if (aOutcome.mIsReleased) {
-    record.mStage = claim_stage::Released;
-    return reply;
-  }
   record.mStage = claim_stage::Completed;
   record.mHasWholeAnswer =
     aOutcome.mHasWholeAnswer && aOutcome.mAnswer.mBody.size() <= kMaxKeptAnswerBytes;
@@ -126,6 +155,15 @@
   return reply;
 }
 
+claim_record* claim_table::Insert(const claim_key& aKey, unix_time aIssued)
+{
+  if (mClaims.size() >= kMaxClaims) {
+    return nullptr;
+  }
+  mByKeyTime.emplace(aIssued.mMilliseconds, aKey);
+  return &mClaims[aKey];
+}
+
 void claim_table::Expire(unix_time aNow, std::int64_t aWindowMilliseconds)
 {
   mRefusedUntil = std::max(mRefusedUntil, aNow.mMilliseconds - aWindowMilliseconds);
--- a/src/citronpulley/state/claim_table.h
+++ b/src/citronpulley/state/claim_table.h
@@ -30,13 +30,16 @@
   claim_stage mStage = claim_stage::Claimed;
   bool mHasWholeAnswer = false;
   http_answer mAnswer;
+  /** Last incarnation and request number of each VM that released the claim. A claim message up to
+   * these was overtaken by its release. */
+  std::map<vm_name, std::pair<incarnation, std::uint64_t>> mReleasedBy;
 
   friend auto operator<=>(const claim_record&, const claim_record&) = default;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mHolder, mRequestDigest, mStage, mHasWholeAnswer, mAnswer);
+    aArchive(mHolder, mRequestDigest, mStage, mHasWholeAnswer, mAnswer, mReleasedBy);
   }
 };
 
@@ -75,7 +78,8 @@
   claim_reply Claim(const claim_request& aRequest, unix_time aNow);
 
   /**
-   * Records the outcome that a holder reports. A report of an earlier holder changes nothing.
+   * Records the outcome that a holder reports. A report of an earlier holder changes nothing. A
+   * release that overtakes its claim keeps the claim from being granted later.
    *
    * @return the acknowledgement
    */
@@ -99,6 +103,8 @@
   }
 
 private:
+  claim_record* Insert(const claim_key& aKey, unix_time aIssued);
+
   std::map<claim_key, claim_record> mClaims;
   std::set<std::pair<std::int64_t, claim_key>> mByKeyTime;
   /** Keys with this time or an earlier one are refused, in milliseconds since 1970. */
