Add a retry budget per service

Cause: an entry VM retries a failed request up to twice, so a service that refuses everything gets three times its load. Change: `retry_budget` is a token bucket for each service; each request adds 0.1 retry and at most 10 are kept. Conclusion: retries stay at 10% of the requests plus 10.

--- a/src/citronpulley/limits/limits.h
+++ b/src/citronpulley/limits/limits.h
@@ -9,5 +9,6 @@
 
 #include "citronpulley/limits/rate_ledger.h"
 #include "citronpulley/limits/rate_wallet.h"
+#include "citronpulley/limits/retry_budget.h"
 
 #endif
--- /dev/null
+++ b/src/citronpulley/limits/retry_budget.cpp
@@ -0,0 +1,23 @@
+#include "citronpulley/limits/retry_budget.h"
+
+#include <algorithm>
+
+namespace citronpulley {
+
+void retry_budget::CountRequest(const service_name& aService)
+{
+  double& tokens = mTokens.try_emplace(aService, kMaxTokens).first->second;
+  tokens = std::min(kMaxTokens, tokens + kRetriesPerRequest);
+}
+
+bool retry_budget::TrySpend(const service_name& aService)
+{
+  double& tokens = mTokens.try_emplace(aService, kMaxTokens).first->second;
+  if (tokens < 1) {
+    return false;
+  }
+  tokens -= 1;
+  return true;
+}
+
+} // namespace citronpulley
