Lease crash suspects in the replicated state

Cause: a suspect had to run alone on its server, but any number of entry VMs could run it at the same time, so the bound of three crashes did not hold. Ruled out: ending the lease with any crash report. Change: `suspect_lease_request` and its reply, decided in `suspect_table`. A request that is only noted as a possible suspect gets a lease too. Messages also get the fields that the dispatcher needs next: servers already tried, whether an announcement has a load report, and unconfirmed crash reports.

--- a/src/citronpulley/node/control_node.cpp
+++ b/src/citronpulley/node/control_node.cpp
@@ -146,6 +146,11 @@
                   aActions.emplace_back(send_peer_message{ sender, std::move(reply) });
                 },
                 [&](const crash_report& aReport) { Propose(aReport, aNow); },
+                [&](const suspect_lease_request& aRequest) {
+                  auto reply = std::get<suspect_lease_reply>(Propose(aRequest, aNow));
+                  reply.mLeader = mSelf;
+                  aActions.emplace_back(send_peer_message{ sender, std::move(reply) });
+                },
                 [&](const fleet_report& aReport) { mFleet.TakeReport(aReport, aNow.mMonotonic); },
                 [&](const auto&) {
                   aActions.emplace_back(write_log{ log_level::Warning,
--- a/src/citronpulley/state/apply_result.h
+++ b/src/citronpulley/state/apply_result.h
@@ -42,7 +42,8 @@
 };
 
 /** Outcome of a command. */
-using apply_result = std::variant<change_result, submit_result, claim_reply, claim_outcome_reply>;
+using apply_result =
+  std::variant<change_result, submit_result, claim_reply, claim_outcome_reply, suspect_lease_reply>;
 
 } // namespace citronpulley
 
--- a/src/citronpulley/state/command.h
+++ b/src/citronpulley/state/command.h
@@ -125,7 +125,8 @@
                                      set_steering_plan,
                                      claim_request,
                                      claim_outcome,
-                                     crash_report>;
+                                     crash_report,
+                                     suspect_lease_request>;
 
 /** Command with the leader's wall-clock time, by which claims grow old alike on each replica. */
 struct command
--- a/src/citronpulley/state/control_state.cpp
+++ b/src/citronpulley/state/control_state.cpp
@@ -109,6 +109,11 @@
   return change_result{ isChanged };
 }
 
+apply_result control_state::ApplyContent(const suspect_lease_request& aCommand)
+{
+  return mSuspects.Lease(aCommand, unix_time{ mUnixMilliseconds });
+}
+
 void control_state::RememberSubmission(const submission_id& aSubmission,
                                        const submit_result& aResult)
 {
--- a/src/citronpulley/state/control_state.h
+++ b/src/citronpulley/state/control_state.h
@@ -99,6 +99,7 @@
   apply_result ApplyContent(const claim_request& aCommand);
   apply_result ApplyContent(const claim_outcome& aCommand);
   apply_result ApplyContent(const crash_report& aCommand);
+  apply_result ApplyContent(const suspect_lease_request& aCommand);
   void RememberSubmission(const submission_id& aSubmission, const submit_result& aResult);
   void ForgetOldChanges();
 
--- a/src/citronpulley/wire/peer_message.cpp
+++ b/src/citronpulley/wire/peer_message.cpp
@@ -35,6 +35,8 @@
   "swim_ping_request",
   "swim_ack",
   "fleet_report",
+  "suspect_lease_request",
+  "suspect_lease_reply",
 };
 
 } // namespace
--- a/src/citronpulley/wire/peer_message.h
+++ b/src/citronpulley/wire/peer_message.h
@@ -42,7 +42,9 @@
                                   swim_ping,
                                   swim_ping_request,
                                   swim_ack,
-                                  fleet_report>;
+                                  fleet_report,
+                                  suspect_lease_request,
+                                  suspect_lease_reply>;
 
 /** @return the encoded message, without envelope */
 std::string EncodeMessage(const peer_message& aMessage);
--- a/src/citronpulley/wire/request_messages.h
+++ b/src/citronpulley/wire/request_messages.h
@@ -112,6 +112,8 @@
   std::uint8_t mHopsLeft = 0;
   digest mFingerprint;
   backend_request mRequest;
+  /** Servers of earlier attempts, which are used only when there is no other. */
+  std::vector<server_name> mTriedServers;
 
   friend auto operator<=>(const forward_request&, const forward_request&) = default;
 
@@ -127,7 +129,8 @@
              mRunsAlone,
              mHopsLeft,
              mFingerprint,
-             mRequest);
+             mRequest,
+             mTriedServers);
   }
 };
 
@@ -179,13 +182,15 @@
   bool mIsLeaving = false;
   /** Random name of the server's present run. */
   std::string mInstance;
+  /** False when the server announced itself without the number of its running requests. */
+  bool mHasReport = true;
 
   friend auto operator<=>(const server_announcement&, const server_announcement&) = default;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mServer, mService, mZone, mSlots, mRunning, mLoad, mIsLeaving, mInstance);
+    aArchive(mServer, mService, mZone, mSlots, mRunning, mLoad, mIsLeaving, mInstance, mHasReport);
   }
 };
 
@@ -373,13 +378,68 @@
   std::vector<digest> mFingerprints;
   /** True when a suspect ran alone and was answered: its suspicion ends. */
   bool mIsCleared = false;
+  /** True while it is not known whether the server crashed; goes among entry VMs only. */
+  bool mIsUnconfirmed = false;
 
   friend auto operator<=>(const crash_report&, const crash_report&) = default;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mServer, mInstance, mFingerprints, mIsCleared);
+    aArchive(mServer, mInstance, mFingerprints, mIsCleared, mIsUnconfirmed);
+  }
+};
+
+/** Asks the leader to let one holder run a suspect, or gives that lease back. */
+struct suspect_lease_request
+{
+  digest mFingerprint;
+  claim_holder mHolder;
+  /** Time left until the deadline of the request, in milliseconds. */
+  std::int64_t mRemainingMilliseconds = 0;
+  /** True when the sender knows of a crash that is not in the replicated state; the leader then
+   * lets one holder at a time run the request all the same. */
+  bool mIsNoted = false;
+  /** True when the request did not run and another holder may run it. */
+  bool mIsReturned = false;
+
+  friend auto operator<=>(const suspect_lease_request&, const suspect_lease_request&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mFingerprint, mHolder, mRemainingMilliseconds, mIsNoted, mIsReturned);
+  }
+};
+
+/** Verdict on a request to run a suspect. */
+enum class suspect_verdict : std::uint8_t
+{
+  /** The holder may run it, once and alone on its server. */
+  Granted,
+  /** Another holder runs it. */
+  Busy,
+  /** The fingerprint is not suspected. */
+  NotSuspected,
+  Quarantined,
+  /** The receiver is not the leader. */
+  NotLeader,
+};
+
+/** Answer to a request to run a suspect. */
+struct suspect_lease_reply
+{
+  digest mFingerprint;
+  claim_holder mHolder;
+  suspect_verdict mVerdict = suspect_verdict::NotLeader;
+  vm_name mLeader;
+
+  friend auto operator<=>(const suspect_lease_reply&, const suspect_lease_reply&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mFingerprint, mHolder, mVerdict, mLeader);
   }
 };
 
