--- a/src/citronpulley/dispatch/backend_dispatcher.cpp
+++ b/src/citronpulley/dispatch/backend_dispatcher.cpp
@@ -1,13 +1,23 @@
 #include "citronpulley/dispatch/backend_dispatcher.h"
 
 #include <algorithm>
+#include <cassert>
+#include <string_view>
 #include <utility>
 
 namespace citronpulley {
 
 namespace {
 
-constexpr double kHealthSmoothing = 0.2;
+constexpr double kSmoothing = 0.2;
+/** Answers after which the measured time of a service is used to refuse jobs. */
+constexpr std::uint32_t kMeasuredAnswers = 5;
+/** A service may lose one of this many servers to ejection. */
+constexpr std::size_t kServersPerEjection = 3;
+/** Makes a server of an earlier attempt the last choice. */
+constexpr double kTriedCostFactor = 1e6;
+constexpr std::uint16_t kServiceUnavailable = 503;
+constexpr std::string_view kNotRunHeader = "citronpulley-not-run";
 
 request_failure RefuseJob(error_code aCode, step aStep, std::string aPeer, std::string aMessage)
 {
@@ -27,6 +37,29 @@
            aFailure.mMayHaveRun ? request_outcome::Unknown : request_outcome::NotRun };
 }
 
+bool IsEqualWithoutCase(std::string_view aLeft, std::string_view aRight) noexcept
+{
+  const auto lower = [](char aCharacter) {
+    return aCharacter >= 'A' && aCharacter <= 'Z' ? static_cast<char>(aCharacter + 'a' - 'A')
+                                                  : aCharacter;
+  };
+  return std::equal(
+    aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), [&](char aOne, char aOther) {
+      return lower(aOne) == lower(aOther);
+    });
+}
+
+/** A backend server marks a request that it refused before running it. */
+bool IsRefusedByServer(const http_answer& aAnswer) noexcept
+{
+  return aAnswer.mStatus == kServiceUnavailable &&
+         std::any_of(
+           aAnswer.mHeaders.begin(), aAnswer.mHeaders.end(), [](const http_header& aHeader) {
+             return IsEqualWithoutCase(aHeader.mName, kNotRunHeader) &&
+                    IsEqualWithoutCase(aHeader.mValue, "true");
+           });
+}
+
 } // namespace
 
 void backend_dispatcher::Announce(const server_announcement& aAnnouncement,
@@ -34,60 +67,55 @@
                                   instant aNow,
                                   std::vector<dispatcher_action>& aActions)
 {
-  auto [place, isNew] = mServers.try_emplace(aAnnouncement.mServer);
-  server_state& server = place->second;
-  const bool isOtherRun = !isNew && server.mAnnouncement.mInstance != aAnnouncement.mInstance;
-  if (isNew || aNow >= server.mHoldsUntil) {
-    server.mWorkFrom = aMayHaveOtherHome ? aNow + kHoldPeriod : aNow;
-  }
+  const server_name& name = aAnnouncement.mServer;
+  backend_server& server = mServers[name];
+  const std::string earlier = server.GetAnnouncement().mInstance;
+  const bool isOtherRun = server.Announce(aAnnouncement, aMayHaveOtherHome, aNow);
   if (isOtherRun) {
-    server.mHealth = 1;
+    server.Trust();
+    Emit(mCrashes.Confirm(name, earlier, ListFingerprints(name, earlier), aNow), aActions);
+  } else if (mCrashes.IsDisproved(name, aNow)) {
+    server.Trust();
+    Emit(mCrashes.Dismiss(name, earlier), aActions);
   }
-  server.mAnnouncement = aAnnouncement;
-  server.mHoldsUntil = aNow + kHoldPeriod;
-  StartQueued(aNow, aActions);
+  const service_name service = aAnnouncement.mService;
+  StartQueued(service, mServices[service], aNow, aActions);
 }
 
 void backend_dispatcher::Submit(dispatch_job aJob,
                                 instant aNow,
                                 std::vector<dispatcher_action>& aActions)
 {
-  if (aJob.mDeadline <= aNow) {
+  const auto refuse = [&](error_code aCode, std::string aMessage) {
     aActions.emplace_back(
-      job_done{ aJob.mJob,
-                {},
-                RefuseJob(error_code::DeadlineExceeded, step::Route, "", "the deadline is over") });
+      job_done{ aJob.mJob, {}, RefuseJob(aCode, step::Route, "", std::move(aMessage)) });
+  };
+  if (aJob.mDeadline <= aNow) {
+    refuse(error_code::DeadlineExceeded, "the deadline is over");
+    return;
+  }
+  if (!HasServer(aJob.mService, aNow)) {
+    refuse(error_code::NoBackendServer, "no backend server of the service takes work here");
     return;
   }
-  if (server_state* server = FindRoom(aJob, aNow)) {
-    Start(std::move(aJob), *server, aActions);
+  const service_name service = aJob.mService;
+  service_state& state = mServices[service];
+  const bool mustWait = !aJob.mRunsAlone && (state.mQueue.GetCount() > 0 ||
+                                             FindFreeServer(aJob, state, aNow) == nullptr);
+  if (mustWait && state.mQueue.IsFull()) {
+    refuse(error_code::Overloaded, "all slots are busy and the queue is full");
     return;
   }
-  if (!HasServer(aJob.mService, aNow)) {
-    aActions.emplace_back(job_done{ aJob.mJob,
-                                    {},
-                                    RefuseJob(error_code::NoBackendServer,
-                                              step::Route,
-                                              "",
-                                              "no backend server of the service is homed here") });
+  if (mustWait && !CanMakeDeadline(aJob, state, aNow)) {
+    refuse(error_code::Overloaded, "the queue is too long for the deadline");
     return;
   }
-  std::deque<dispatch_job>& queue = mQueues[aJob.mService];
-  if (queue.size() >= kMaxQueuedJobs) {
-    aActions.emplace_back(job_done{
-      aJob.mJob,
-      {},
-      RefuseJob(
-        error_code::Overloaded, step::Route, "", "all slots are busy and the queue is full") });
+  if (state.mQueue.IsFull()) {
+    refuse(error_code::Overloaded, "the queue is full");
     return;
   }
-  // Urgent jobs go before the others, in their own order.
-  const auto place =
-    aJob.mIsUrgent ? std::find_if(queue.begin(),
-                                  queue.end(),
-                                  [](const dispatch_job& aQueued) { return !aQueued.mIsUrgent; })
-                   : queue.end();
-  queue.insert(place, std::move(aJob));
+  state.mQueue.Push(std::move(aJob));
+  StartQueued(service, state, aNow, aActions);
 }
 
 void backend_dispatcher::Finish(std::uint64_t aDispatch,
@@ -99,39 +127,87 @@
   if (found == mRunning.end()) {
     return;
   }
+  std::vector<digest> running = ListFingerprints(found->second.mServer, found->second.mInstance);
+  const running_job job = TakeRunning(aDispatch);
   if (auto* answer = std::get_if<http_answer>(&aOutcome)) {
-    const running_job job = std::move(found->second);
-    mRunning.erase(found);
-    Release(job, answer->mStatus < 500 ? 1.0 : 0.0);
-    if (job.mJob.mRunsAlone) {
-      aActions.emplace_back(
-        crash_report{ job.mServer, job.mInstance, { job.mJob.mFingerprint }, true });
-    }
-    aActions.emplace_back(job_done{ job.mJob.mJob, job.mServer, std::move(*answer) });
+    FinishAnswered(job, std::move(*answer), aNow, aActions);
   } else {
-    const auto& failure = std::get<backend_failure>(aOutcome);
-    const bool isLost = failure.mError.mCode == make_error_code(error_code::ConnectionLost);
-    if (failure.mMayHaveRun && isLost) {
-      ReportCrash(found->second, aActions);
+    FinishFailed(job, std::get<backend_failure>(aOutcome), std::move(running), aNow, aActions);
+  }
+  EjectOutlier(mServers.at(job.mServer), aNow);
+  StartQueued(job.mJob.mService, mServices[job.mJob.mService], aNow, aActions);
+}
+
+void backend_dispatcher::FinishAnswered(const running_job& aJob,
+                                        http_answer aAnswer,
+                                        instant aNow,
+                                        std::vector<dispatcher_action>& aActions)
+{
+  backend_server& server = mServers.at(aJob.mServer);
+  if (IsRefusedByServer(aAnswer)) {
+    server.Return(false, aNow);
+    aActions.emplace_back(job_done{ aJob.mJob.mJob,
+                                    aJob.mServer,
+                                    RefuseJob(error_code::Overloaded,
+                                              step::ReadFromBackend,
+                                              aJob.mServer.mValue,
+                                              "the backend server refused the request") });
+    return;
+  }
+  const bool isGood = aAnswer.mStatus < 500;
+  const microseconds latency =
+    isGood ? aNow - aJob.mStartedAt : aJob.mJob.mDeadline - aJob.mStartedAt;
+  server.End(isGood, latency, aNow);
+  if (isGood) {
+    service_state& service = mServices[aJob.mJob.mService];
+    service.mLatencyMicroseconds +=
+      (service.mAnswers++ == 0 ? 1 : kSmoothing) *
+      (static_cast<double>(latency.count()) - service.mLatencyMicroseconds);
+  }
+  if (aJob.mJob.mRunsAlone) {
+    aActions.emplace_back(
+      crash_report{ aJob.mServer, aJob.mInstance, { aJob.mJob.mFingerprint }, true });
+  }
+  aActions.emplace_back(job_done{ aJob.mJob.mJob, aJob.mServer, std::move(aAnswer) });
+}
+
+void backend_dispatcher::FinishFailed(const running_job& aJob,
+                                      const backend_failure& aFailure,
+                                      std::vector<digest> aRunning,
+                                      instant aNow,
+                                      std::vector<dispatcher_action>& aActions)
+{
+  backend_server& server = mServers.at(aJob.mServer);
+  server.End(false, aJob.mJob.mDeadline - aJob.mStartedAt, aNow);
+  job_done end{ aJob.mJob.mJob, aJob.mServer, ToFailure(aFailure) };
+  const bool isLost =
+    aFailure.mMayHaveRun && aFailure.mError.mCode == make_error_code(error_code::ConnectionLost);
+  // The crash of an earlier run is judged already.
+  const bool isPresentRun = server.GetAnnouncement().mInstance == aJob.mInstance;
+  if (isLost && isPresentRun) {
+    server.Doubt();
+    if (mCrashes.NoteLoss(aJob.mServer, aRunning, std::move(end), aNow)) {
+      aActions.emplace_back(
+        crash_report{ aJob.mServer, aJob.mInstance, std::move(aRunning), false, true });
     }
-    const running_job job = std::move(found->second);
-    mRunning.erase(found);
-    Release(job, 0.0);
-    aActions.emplace_back(job_done{ job.mJob.mJob, job.mServer, ToFailure(failure) });
+    return;
   }
-  StartQueued(aNow, aActions);
+  aActions.emplace_back(std::move(end));
 }
 
-void backend_dispatcher::Cancel(std::uint64_t aJob, std::vector<dispatcher_action>& aActions)
+void backend_dispatcher::Cancel(std::uint64_t aJob,
+                                instant aNow,
+                                std::vector<dispatcher_action>& aActions)
 {
-  for (auto& [service, queue] : mQueues) {
-    std::erase_if(queue, [aJob](const dispatch_job& aQueued) { return aQueued.mJob == aJob; });
-  }
-  for (auto running = mRunning.begin(); running != mRunning.end(); ++running) {
-    if (running->second.mJob.mJob == aJob) {
-      aActions.emplace_back(cancel_backend{ running->first });
-      Release(running->second, 1.0);
-      mRunning.erase(running);
+  const auto running = mDispatchByJob.find(aJob);
+  if (running != mDispatchByJob.end()) {
+    aActions.emplace_back(cancel_backend{ running->second });
+    const running_job job = TakeRunning(running->second);
+    Abandon(job, aNow);
+    return;
+  }
+  for (auto& [name, service] : mServices) {
+    if (service.mQueue.Remove(aJob)) {
       return;
     }
   }
@@ -139,15 +215,11 @@
 
 void backend_dispatcher::Tick(instant aNow, std::vector<dispatcher_action>& aActions)
 {
-  for (auto running = mRunning.begin(); running != mRunning.end();) {
-    if (running->second.mJob.mDeadline > aNow) {
-      ++running;
-      continue;
-    }
-    const running_job job = std::move(running->second);
-    aActions.emplace_back(cancel_backend{ running->first });
-    running = mRunning.erase(running);
-    Release(job, 0.0);
+  while (!mByDeadline.empty() && mByDeadline.begin()->first <= aNow) {
+    const std::uint64_t dispatch = mByDeadline.begin()->second;
+    const running_job job = TakeRunning(dispatch);
+    aActions.emplace_back(cancel_backend{ dispatch });
+    Abandon(job, aNow);
     request_failure failure = RefuseJob(error_code::DeadlineExceeded,
                                         step::ReadFromBackend,
                                         job.mServer.mValue,
@@ -155,43 +227,53 @@
     failure.mOutcome = request_outcome::Unknown;
     aActions.emplace_back(job_done{ job.mJob.mJob, job.mServer, std::move(failure) });
   }
-  for (auto& [service, queue] : mQueues) {
-    const bool hasServer = HasServer(service, aNow);
-    for (auto job = queue.begin(); job != queue.end();) {
-      if (hasServer && job->mDeadline > aNow) {
-        ++job;
-        continue;
-      }
-      const error_code code =
-        hasServer ? error_code::DeadlineExceeded : error_code::NoBackendServer;
+  for (auto server = mServers.begin(); server != mServers.end();) {
+    if (server->second.IsHeld(aNow)) {
+      ++server;
+      continue;
+    }
+    const server_name& name = server->first;
+    if (mCrashes.IsWatched(name)) {
+      const std::string instance = server->second.GetAnnouncement().mInstance;
+      Emit(mCrashes.Confirm(name, instance, ListFingerprints(name, instance), aNow), aActions);
+    }
+    server = server->second.GetRunning() == 0 ? mServers.erase(server) : std::next(server);
+  }
+  for (auto& [name, service] : mServices) {
+    const bool hasServer = service.mQueue.GetCount() == 0 || HasServer(name, aNow);
+    const error_code code = hasServer ? error_code::DeadlineExceeded : error_code::NoBackendServer;
+    const std::vector<dispatch_job> ended =
+      hasServer ? service.mQueue.TakeOverdue(aNow) : service.mQueue.TakeAll();
+    for (const dispatch_job& job : ended) {
       aActions.emplace_back(
-        job_done{ job->mJob, {}, RefuseJob(code, step::Route, "", "no slot became free in time") });
-      job = queue.erase(job);
+        job_done{ job.mJob, {}, RefuseJob(code, step::Route, "", "no slot became free in time") });
     }
+    StartQueued(name, service, aNow, aActions);
   }
-  std::erase_if(mServers, [aNow](const auto& aServer) {
-    return aServer.second.mHoldsUntil <= aNow && aServer.second.mRunning == 0;
-  });
-  StartQueued(aNow, aActions);
+}
+
+void backend_dispatcher::SetConnectionLimit(const service_name& aService, std::uint32_t aLimit)
+{
+  mServices[aService].mMaxRunning = aLimit;
 }
 
 bool backend_dispatcher::IsHomed(const server_name& aServer, instant aNow) const noexcept
 {
   const auto found = mServers.find(aServer);
-  return found != mServers.end() && found->second.mHoldsUntil > aNow;
+  return found != mServers.end() && found->second.IsHeld(aNow);
 }
 
 std::vector<homed_server> backend_dispatcher::ListServers(instant aNow) const
 {
   std::vector<homed_server> servers;
   for (const auto& [name, server] : mServers) {
-    const server_announcement& announced = server.mAnnouncement;
+    const server_announcement& announced = server.GetAnnouncement();
     servers.push_back({ name,
                         announced.mService,
                         announced.mInstance,
-                        announced.mSlots,
-                        server.mRunning,
-                        TakesWork(server, aNow) });
+                        server.GetLimit(aNow),
+                        server.GetOccupied(aNow),
+                        server.TakesWork(aNow) });
   }
   return servers;
 }
@@ -199,104 +281,206 @@
 std::size_t backend_dispatcher::GetJobCount() const noexcept
 {
   std::size_t count = mRunning.size();
-  for (const auto& [service, queue] : mQueues) {
-    count += queue.size();
+  for (const auto& [name, service] : mServices) {
+    count += service.mQueue.GetCount();
   }
   return count;
 }
 
-bool backend_dispatcher::TakesWork(const server_state& aServer, instant aNow) noexcept
+bool backend_dispatcher::HasServer(const service_name& aService, instant aNow) const noexcept
 {
-  return !aServer.mAnnouncement.mIsLeaving && aServer.mHoldsUntil > aNow &&
-         aServer.mWorkFrom <= aNow;
+  return std::any_of(mServers.begin(), mServers.end(), [&](const auto& aServer) {
+    return aServer.second.GetAnnouncement().mService == aService &&
+           aServer.second.IsExpectedToTakeWork(aNow);
+  });
 }
 
-bool backend_dispatcher::HasRoom(const server_state& aServer,
-                                 const dispatch_job& aJob,
-                                 instant aNow) noexcept
+bool backend_dispatcher::RunsSuspect(const server_name& aServer) const noexcept
 {
-  if (!TakesWork(aServer, aNow) || aServer.mAnnouncement.mService != aJob.mService ||
-      aServer.mRunsSuspect) {
-    return false;
-  }
-  return aJob.mRunsAlone ? aServer.mRunning == 0 : aServer.mRunning < aServer.mAnnouncement.mSlots;
+  return mSuspectServers.contains(aServer);
 }
 
-backend_dispatcher::server_state* backend_dispatcher::FindRoom(const dispatch_job& aJob,
-                                                               instant aNow) noexcept
+backend_server* backend_dispatcher::FindFreeServer(const dispatch_job& aJob,
+                                                   const service_state& aState,
+                                                   instant aNow) noexcept
 {
-  server_state* best = nullptr;
-  const auto cost = [](const server_state& aServer) {
-    return (aServer.mRunning + 1.0) / aServer.mAnnouncement.mSlots /
-           std::max(aServer.mHealth, 0.05);
-  };
+  if (aState.mRunning >= aState.mMaxRunning) {
+    return nullptr;
+  }
+  const microseconds typical(static_cast<std::int64_t>(aState.mLatencyMicroseconds));
+  backend_server* best = nullptr;
+  double bestCost = 0;
   for (auto& [name, server] : mServers) {
-    if (HasRoom(server, aJob, aNow) && (best == nullptr || cost(server) < cost(*best))) {
+    if (server.GetAnnouncement().mService != aJob.mService || !server.HasFreeSlot(aNow) ||
+        RunsSuspect(name) || name == aState.mReserved) {
+      continue;
+    }
+    const bool isTried = std::count(aJob.mTriedServers.begin(), aJob.mTriedServers.end(), name) > 0;
+    const double cost = server.GetCost(typical, aNow) * (isTried ? kTriedCostFactor : 1);
+    if (best == nullptr || cost < bestCost) {
       best = &server;
+      bestCost = cost;
     }
   }
   return best;
 }
 
-bool backend_dispatcher::HasServer(const service_name& aService, instant aNow) const noexcept
+backend_server* backend_dispatcher::FindIdleServer(const service_name& aService,
+                                                   service_state& aState,
+                                                   instant aNow) noexcept
 {
-  return std::any_of(mServers.begin(), mServers.end(), [&](const auto& aServer) {
-    return aServer.second.mAnnouncement.mService == aService && TakesWork(aServer.second, aNow);
-  });
+  backend_server* best = nullptr;
+  for (auto& [name, server] : mServers) {
+    if (server.GetAnnouncement().mService != aService || !server.TakesWork(aNow) ||
+        RunsSuspect(name)) {
+      continue;
+    }
+    // The reserved server stays so, as it is being emptied.
+    if (name == aState.mReserved) {
+      best = &server;
+      break;
+    }
+    if (best == nullptr || server.GetOccupied(aNow) < best->GetOccupied(aNow)) {
+      best = &server;
+    }
+  }
+  aState.mReserved = best == nullptr ? server_name() : best->GetAnnouncement().mServer;
+  const bool isIdle =
+    best != nullptr && best->GetOccupied(aNow) == 0 && aState.mRunning < aState.mMaxRunning;
+  return isIdle ? best : nullptr;
+}
+
+bool backend_dispatcher::CanMakeDeadline(const dispatch_job& aJob,
+                                         const service_state& aState,
+                                         instant aNow) const noexcept
+{
+  if (aState.mAnswers < kMeasuredAnswers) {
+    return true;
+  }
+  std::uint64_t slots = 0;
+  for (const auto& [name, server] : mServers) {
+    if (server.GetAnnouncement().mService == aJob.mService && server.TakesWork(aNow)) {
+      slots += server.GetLimit(aNow);
+    }
+  }
+  const double ahead = static_cast<double>(aState.mQueue.CountAhead(aJob.mIsUrgent)) + 1;
+  const double rounds = ahead / static_cast<double>(std::max<std::uint64_t>(slots, 1)) + 1;
+  return rounds * aState.mLatencyMicroseconds <=
+         static_cast<double>((aJob.mDeadline - aNow).count());
 }
 
 void backend_dispatcher::Start(dispatch_job aJob,
-                               server_state& aServer,
+                               backend_server& aServer,
+                               instant aNow,
                                std::vector<dispatcher_action>& aActions)
 {
   const std::uint64_t dispatch = ++mLastDispatch;
-  ++aServer.mRunning;
-  aServer.mRunsSuspect = aJob.mRunsAlone;
-  const server_name& name = aServer.mAnnouncement.mServer;
+  const server_name name = aServer.GetAnnouncement().mServer;
+  aServer.Start(aNow);
+  ++mServices[aJob.mService].mRunning;
+  if (aJob.mRunsAlone) {
+    mSuspectServers.insert(name);
+  }
   aActions.emplace_back(send_to_backend{ dispatch, name, aJob.mDeadline, aJob.mRequest });
-  mRunning.emplace(dispatch, running_job{ std::move(aJob), name, aServer.mAnnouncement.mInstance });
+  mByDeadline.emplace(aJob.mDeadline, dispatch);
+  mDispatchByJob.emplace(aJob.mJob, dispatch);
+  mRunning.emplace(dispatch,
+                   running_job{ std::move(aJob), name, aServer.GetAnnouncement().mInstance, aNow });
 }
 
-void backend_dispatcher::StartQueued(instant aNow, std::vector<dispatcher_action>& aActions)
+void backend_dispatcher::StartQueued(const service_name& aService,
+                                     service_state& aState,
+                                     instant aNow,
+                                     std::vector<dispatcher_action>& aActions)
 {
-  for (auto& [service, queue] : mQueues) {
-    for (auto job = queue.begin(); job != queue.end();) {
-      server_state* server = job->mDeadline > aNow ? FindRoom(*job, aNow) : nullptr;
-      if (server == nullptr) {
-        ++job;
-        continue;
-      }
-      dispatch_job next = std::move(*job);
-      job = queue.erase(job);
-      Start(std::move(next), *server, aActions);
+  while (const dispatch_job* suspect = aState.mQueue.PeekAlone()) {
+    backend_server* server = FindIdleServer(aService, aState, aNow);
+    if (server == nullptr || suspect->mDeadline <= aNow) {
+      break;
+    }
+    aState.mReserved = {};
+    Start(aState.mQueue.PopAlone(), *server, aNow, aActions);
+  }
+  if (aState.mQueue.PeekAlone() == nullptr) {
+    aState.mReserved = {};
+  }
+  while (const dispatch_job* job = aState.mQueue.PeekShared()) {
+    backend_server* server = FindFreeServer(*job, aState, aNow);
+    if (server == nullptr) {
+      return;
+    }
+    if (job->mDeadline <= aNow) {
+      const dispatch_job overdue = aState.mQueue.PopShared();
+      aActions.emplace_back(job_done{
+        overdue.mJob,
+        {},
+        RefuseJob(error_code::DeadlineExceeded, step::Route, "", "no slot became free in time") });
+      continue;
     }
+    Start(aState.mQueue.PopShared(), *server, aNow, aActions);
+  }
+}
+
+backend_dispatcher::running_job backend_dispatcher::TakeRunning(std::uint64_t aDispatch)
+{
+  auto node = mRunning.extract(aDispatch);
+  assert(!node.empty());
+  running_job job = std::move(node.mapped());
+  mByDeadline.erase({ job.mJob.mDeadline, aDispatch });
+  mDispatchByJob.erase(job.mJob.mJob);
+  --mServices.at(job.mJob.mService).mRunning;
+  if (job.mJob.mRunsAlone) {
+    mSuspectServers.erase(job.mServer);
   }
+  return job;
 }
 
-void backend_dispatcher::Release(const running_job& aJob, double aScore)
+void backend_dispatcher::Abandon(const running_job& aJob, instant aNow)
 {
-  const auto found = mServers.find(aJob.mServer);
-  if (found == mServers.end()) {
+  mServers.at(aJob.mServer).Abandon(aNow);
+  mCrashes.NoteAbandoned(aJob.mServer, aJob.mJob.mFingerprint, aNow);
+}
+
+void backend_dispatcher::EjectOutlier(backend_server& aServer, instant aNow) noexcept
+{
+  if (!aServer.IsOutlier() || aServer.IsEjected(aNow)) {
     return;
   }
-  server_state& server = found->second;
-  server.mRunning -= std::min<std::uint32_t>(server.mRunning, 1);
-  if (aJob.mJob.mRunsAlone) {
-    server.mRunsSuspect = false;
+  const service_name& service = aServer.GetAnnouncement().mService;
+  std::size_t servers = 0;
+  std::size_t ejected = 0;
+  for (const auto& [name, server] : mServers) {
+    if (server.GetAnnouncement().mService == service && server.IsHeld(aNow)) {
+      ++servers;
+      ejected += server.IsEjected(aNow) ? 1 : 0;
+    }
+  }
+  if ((ejected + 1) * kServersPerEjection <= servers) {
+    aServer.Eject(aNow);
   }
-  server.mHealth += kHealthSmoothing * (aScore - server.mHealth);
 }
 
-void backend_dispatcher::ReportCrash(const running_job& aJob,
-                                     std::vector<dispatcher_action>& aActions) const
+std::vector<digest> backend_dispatcher::ListFingerprints(const server_name& aServer,
+                                                         const std::string& aInstance) const
 {
-  crash_report report{ aJob.mServer, aJob.mInstance, {}, false };
+  std::vector<digest> fingerprints;
   for (const auto& [dispatch, running] : mRunning) {
-    if (running.mServer == aJob.mServer && running.mInstance == aJob.mInstance) {
-      report.mFingerprints.push_back(running.mJob.mFingerprint);
+    if (running.mServer == aServer && running.mInstance == aInstance) {
+      fingerprints.push_back(running.mJob.mFingerprint);
     }
   }
-  aActions.emplace_back(std::move(report));
+  return fingerprints;
+}
+
+void backend_dispatcher::Emit(crash_watch::verdict aVerdict,
+                              std::vector<dispatcher_action>& aActions)
+{
+  if (aVerdict.mReport) {
+    aActions.emplace_back(std::move(*aVerdict.mReport));
+  }
+  for (job_done& end : aVerdict.mEnded) {
+    aActions.emplace_back(std::move(end));
+  }
 }
 
 } // namespace citronpulley
--- a/src/citronpulley/dispatch/backend_dispatcher.h
+++ b/src/citronpulley/dispatch/backend_dispatcher.h
@@ -3,80 +3,21 @@
 
 #include "citronpulley/base/identifiers.h"
 #include "citronpulley/base/instant.h"
-#include "citronpulley/base/result.h"
-#include "citronpulley/wire/request_messages.h"
+#include "citronpulley/dispatch/backend_server.h"
+#include "citronpulley/dispatch/crash_watch.h"
+#include "citronpulley/dispatch/dispatch_job.h"
+#include "citronpulley/dispatch/job_queue.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
-#include <variant>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace citronpulley {
 
-/** Request that is to run on a backend server homed on this VM. */
-struct dispatch_job
-{
-  /** Number by which the owner of the job knows it. */
-  std::uint64_t mJob = 0;
-  service_name mService;
-  workspace_name mWorkspace;
-  instant mDeadline;
-  bool mIsUrgent = false;
-  bool mRunsAlone = false;
-  digest mFingerprint;
-  backend_request mRequest;
-
-  friend auto operator<=>(const dispatch_job&, const dispatch_job&) = default;
-};
-
-/** Sends a request to a backend server. */
-struct send_to_backend
-{
-  std::uint64_t mDispatch = 0;
-  server_name mServer;
-  instant mDeadline;
-  backend_request mRequest;
-
-  friend auto operator<=>(const send_to_backend&, const send_to_backend&) = default;
-};
-
-/** Gives up a request that was sent; its connection is closed. */
-struct cancel_backend
-{
-  std::uint64_t mDispatch = 0;
-
-  friend auto operator<=>(const cancel_backend&, const cancel_backend&) = default;
-};
-
-/** Ends a job with the server's answer or a failure. */
-struct job_done
-{
-  std::uint64_t mJob = 0;
-  server_name mServer;
-  std::variant<http_answer, request_failure> mOutcome;
-
-  friend auto operator<=>(const job_done&, const job_done&) = default;
-};
-
-/** What the dispatcher wants done. */
-using dispatcher_action = std::variant<send_to_backend, cancel_backend, job_done, crash_report>;
-
-/** How a request to a backend server ended without a whole answer. */
-struct backend_failure
-{
-  error mError;
-  /** False only when no byte of the request was sent. */
-  bool mMayHaveRun = true;
-
-  friend bool operator==(const backend_failure&, const backend_failure&) = default;
-};
-
-/** Whole answer of a backend server, or the failure. */
-using backend_outcome = std::variant<http_answer, backend_failure>;
-
 /**
  * Backend servers whose home is this VM, and the requests that run on them.
  *
@@ -87,9 +28,9 @@
 {
 public:
   /** Time for which an announcement holds. */
-  static constexpr microseconds kHoldPeriod{ 3'000'000 };
+  static constexpr microseconds kHoldPeriod = backend_server::kHoldPeriod;
   /** Most jobs that wait for a slot of one service. */
-  static constexpr std::size_t kMaxQueuedJobs = 256;
+  static constexpr std::size_t kMaxQueuedJobs = job_queue::kMaxJobs;
 
   /**
    * Takes an announcement.
@@ -115,50 +56,89 @@
               std::vector<dispatcher_action>& aActions);
 
   /** Drops a job whose caller has gone. */
-  void Cancel(std::uint64_t aJob, std::vector<dispatcher_action>& aActions);
+  void Cancel(std::uint64_t aJob, instant aNow, std::vector<dispatcher_action>& aActions);
 
   /** Ends what has reached its deadline and drops servers whose announcement no longer holds. */
   void Tick(instant aNow, std::vector<dispatcher_action>& aActions);
 
+  /**
+   * Limits the requests of a service that run at a time on all servers homed here, each of which
+   * uses a connection.
+   */
+  void SetConnectionLimit(const service_name& aService, std::uint32_t aLimit);
+
   /** @return true when the server is homed here and its announcement holds */
   bool IsHomed(const server_name& aServer, instant aNow) const noexcept;
 
-  /** @return servers homed here, in order of their names */
+  /** @return servers homed here with the slots in use at present, in order of their names */
   std::vector<homed_server> ListServers(instant aNow) const;
 
   /** @return number of jobs that run or wait */
   std::size_t GetJobCount() const noexcept;
 
 private:
-  struct server_state
-  {
-    server_announcement mAnnouncement;
-    instant mHoldsUntil;
-    instant mWorkFrom;
-    std::uint32_t mRunning = 0;
-    bool mRunsSuspect = false;
-    double mHealth = 1;
-  };
-
   struct running_job
   {
     dispatch_job mJob;
     server_name mServer;
     std::string mInstance;
+    instant mStartedAt;
+  };
+
+  struct service_state
+  {
+    job_queue mQueue;
+    std::uint32_t mRunning = 0;
+    std::uint32_t mMaxRunning = UINT32_MAX;
+    /** Smoothed time of answered requests, and how many were answered. */
+    double mLatencyMicroseconds = 0;
+    std::uint32_t mAnswers = 0;
+    /** Server that is emptied for the first suspect of the queue. */
+    server_name mReserved;
   };
 
-  static bool TakesWork(const server_state& aServer, instant aNow) noexcept;
-  static bool HasRoom(const server_state& aServer, const dispatch_job& aJob, instant aNow) noexcept;
-  server_state* FindRoom(const dispatch_job& aJob, instant aNow) noexcept;
+  backend_server* FindFreeServer(const dispatch_job& aJob,
+                                 const service_state& aState,
+                                 instant aNow) noexcept;
+  backend_server* FindIdleServer(const service_name& aService,
+                                 service_state& aState,
+                                 instant aNow) noexcept;
+  bool RunsSuspect(const server_name& aServer) const noexcept;
   bool HasServer(const service_name& aService, instant aNow) const noexcept;
-  void Start(dispatch_job aJob, server_state& aServer, std::vector<dispatcher_action>& aActions);
-  void StartQueued(instant aNow, std::vector<dispatcher_action>& aActions);
-  void Release(const running_job& aJob, double aScore);
-  void ReportCrash(const running_job& aJob, std::vector<dispatcher_action>& aActions) const;
-
-  std::map<server_name, server_state> mServers;
-  std::map<std::uint64_t, running_job> mRunning;
-  std::map<service_name, std::deque<dispatch_job>> mQueues;
+  bool CanMakeDeadline(const dispatch_job& aJob,
+                       const service_state& aState,
+                       instant aNow) const noexcept;
+  void Start(dispatch_job aJob,
+             backend_server& aServer,
+             instant aNow,
+             std::vector<dispatcher_action>& aActions);
+  void StartQueued(const service_name& aService,
+                   service_state& aState,
+                   instant aNow,
+                   std::vector<dispatcher_action>& aActions);
+  running_job TakeRunning(std::uint64_t aDispatch);
+  void FinishAnswered(const running_job& aJob,
+                      http_answer aAnswer,
+                      instant aNow,
+                      std::vector<dispatcher_action>& aActions);
+  void FinishFailed(const running_job& aJob,
+                    const backend_failure& aFailure,
+                    std::vector<digest> aRunning,
+                    instant aNow,
+                    std::vector<dispatcher_action>& aActions);
+  void Abandon(const running_job& aJob, instant aNow);
+  void EjectOutlier(backend_server& aServer, instant aNow) noexcept;
+  std::vector<digest> ListFingerprints(const server_name& aServer,
+                                       const std::string& aInstance) const;
+  static void Emit(crash_watch::verdict aVerdict, std::vector<dispatcher_action>& aActions);
+
+  std::map<server_name, backend_server> mServers;
+  std::map<service_name, service_state> mServices;
+  std::unordered_map<std::uint64_t, running_job> mRunning;
+  std::unordered_map<std::uint64_t, std::uint64_t> mDispatchByJob;
+  std::set<std::pair<instant, std::uint64_t>> mByDeadline;
+  std::set<server_name> mSuspectServers;
+  crash_watch mCrashes;
   std::uint64_t mLastDispatch = 0;
 };
 
--- a/src/citronpulley/dispatch/dispatch.h
+++ b/src/citronpulley/dispatch/dispatch.h
@@ -8,5 +8,9 @@
  */
 
 #include "citronpulley/dispatch/backend_dispatcher.h"
+#include "citronpulley/dispatch/backend_server.h"
+#include "citronpulley/dispatch/crash_watch.h"
+#include "citronpulley/dispatch/dispatch_job.h"
+#include "citronpulley/dispatch/job_queue.h"
 
 #endif
--- a/src/citronpulley/membership/zone_directory.cpp
+++ b/src/citronpulley/membership/zone_directory.cpp
@@ -1,5 +1,6 @@
 #include "citronpulley/membership/zone_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace citronpulley {
@@ -117,6 +118,13 @@
   return false;
 }
 
+bool zone_directory::HasHeardAllPeers() const noexcept
+{
+  return !mVms.empty() && std::all_of(mVms.begin(), mVms.end(), [this](const auto& aVm) {
+    return aVm.second.mZone != mSelf.mZone || aVm.first == mSelf.mVm || mPeers.contains(aVm.first);
+  });
+}
+
 vm_name zone_directory::ChooseHome(const server_name& aServer, instant aNow) const
 {
   const std::hash<std::string> hash;
--- a/src/citronpulley/membership/zone_directory.h
+++ b/src/citronpulley/membership/zone_directory.h
@@ -66,6 +66,12 @@
   /** @return true when another VM of the zone was last known as home of this run of a server */
   bool WasHomedElsewhere(const server_name& aServer, const std::string& aInstance) const noexcept;
 
+  /**
+   * @return true when the control group's list of VMs is known and each other VM of the zone on it
+   * has sent a heartbeat to this run, so that all homes of the zone are known
+   */
+  bool HasHeardAllPeers() const noexcept;
+
   /**
    * Chooses the VM that becomes the home of a server, alike on each VM with the same view of the
    * zone.
--- a/src/citronpulley/node/active_request.h
+++ b/src/citronpulley/node/active_request.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace citronpulley {
 
@@ -37,6 +38,8 @@
 {
   WaitsForTokens,
   WaitsForClaim,
+  /** Waits for the lease without which no crash suspect runs. */
+  WaitsForLease,
   /** Forwarded to another VM, or given to the dispatcher of this one. */
   Runs,
 };
@@ -53,10 +56,11 @@
   instant mDeadline;
   /** Time until which it may wait for tokens. */
   instant mTokensBy;
-  /** Time at which an unanswered claim is sent again. */
-  instant mClaimAgainAt;
+  /** Time at which the request needs attention next. */
+  instant mDueAt;
   bool mIsIdempotent = false;
   bool mIsUrgent = false;
+  /** The request is a crash suspect, and this attempt has the lease to run. */
   bool mRunsAlone = false;
   /** An earlier attempt ended with an unknown outcome. */
   bool mMayHaveRun = false;
@@ -65,8 +69,10 @@
   std::string mIdempotencyKey;
   digest mFingerprint;
   zone_name mZone;
-  /** Zones that refused the request as not run. */
+  /** Zones of earlier attempts, which are used only when there is no other. */
   std::set<zone_name> mTriedZones;
+  /** Servers of earlier attempts, which are used only when there is no other. */
+  std::vector<server_name> mTriedServers;
   /** VM to which the present attempt went; this VM for its own dispatcher. */
   vm_name mAttemptVm;
   std::uint64_t mAttemptNumber = 0;
--- a/src/citronpulley/node/announcement_reader.cpp
+++ b/src/citronpulley/node/announcement_reader.cpp
@@ -78,11 +78,12 @@
     return RefuseAnnouncement("slots must be an integer from 1 to 100000");
   }
   announcement.mSlots = static_cast<std::uint32_t>(*slots);
-  const std::int64_t running = ReadNumber(object, "running").value_or(0);
-  if (running < 0 || running > kMaxSlots) {
+  const std::optional<std::int64_t> running = ReadNumber(object, "running");
+  if (running && (*running < 0 || *running > kMaxSlots)) {
     return RefuseAnnouncement("running must be an integer from 0 to 100000");
   }
-  announcement.mRunning = static_cast<std::uint32_t>(running);
+  announcement.mHasReport = running.has_value();
+  announcement.mRunning = static_cast<std::uint32_t>(running.value_or(0));
   if (const boost::json::value* load = object.if_contains("load")) {
     if (!load->is_number() || load->to_number<double>() < 0 || load->to_number<double>() > 1) {
       return RefuseAnnouncement("load must be a number from 0 to 1");
--- a/src/citronpulley/node/entry_node.cpp
+++ b/src/citronpulley/node/entry_node.cpp
@@ -110,6 +110,7 @@
       [&](const grant_reply& aReply) {
         if (aReply.mIsLeader) {
           mWallet.Accept(aReply, aNow);
+          mFlow.RetryTokens(aNow, aActions);
         } else {
           mLink.SetLeader(aReply.mLeader);
         }
@@ -122,7 +123,11 @@
       [&](const forward_response& aResponse) {
         mFlow.AcceptResponse(sender, aResponse, aNow, aActions);
       },
-      [&](const forward_cancel& aCancel) { mFlow.CancelForwarded(sender, aCancel, aActions); },
+      [&](const forward_cancel& aCancel) {
+        mFlow.CancelForwarded(sender, aCancel, aNow, aActions);
+      },
+      [&](const suspect_lease_reply& aReply) { mFlow.AcceptLease(aReply, aNow, aActions); },
+      [&](const crash_report& aReport) { mFlow.AcceptCrash(aReport, aNow); },
       [&](const announce_forward& aForward) {
         TakeAnnouncement(aForward.mAnnouncement, aNow, aActions);
       },
@@ -143,6 +148,7 @@
     return;
   }
   mZones = aReply.mZones;
+  LimitConnections(aNow);
   for (const vm_record& vm : aReply.mLiveVms) {
     const auto known = mDirectory.GetVms().find(vm.mVm);
     const bool isNew = known == mDirectory.GetVms().end() ||
@@ -164,6 +170,9 @@
 
 void entry_node::HandleTick(instant aNow, node_actions& aActions)
 {
+  if (mStartedAt == instant{}) {
+    mStartedAt = aNow;
+  }
   std::vector<dispatcher_action> wanted;
   mDispatcher.Tick(aNow, wanted);
   mFlow.HandleDispatcher(std::move(wanted), aNow, aActions);
@@ -234,11 +243,46 @@
     }
   }
   std::vector<dispatcher_action> wanted;
-  const bool mayHaveOtherHome = mDirectory.WasHomedElsewhere(server, aAnnouncement.mInstance);
+  const bool mayHaveOtherHome = MayHaveOtherHome(aAnnouncement, aNow);
   mDispatcher.Announce(aAnnouncement, mayHaveOtherHome, aNow, wanted);
   mFlow.HandleDispatcher(std::move(wanted), aNow, aActions);
 }
 
+bool entry_node::MayHaveOtherHome(const server_announcement& aAnnouncement, instant aNow) const
+{
+  const server_name& server = aAnnouncement.mServer;
+  if (mDirectory.WasHomedElsewhere(server, aAnnouncement.mInstance)) {
+    return true;
+  }
+  // Requests that run already were sent by another home or by an earlier run of this VM.
+  const bool isIdle = aAnnouncement.mHasReport && aAnnouncement.mRunning == 0;
+  const bool startedLately = aNow < mStartedAt + backend_dispatcher::kHoldPeriod;
+  return !isIdle || (startedLately && !mDirectory.HasHeardAllPeers());
+}
+
+void entry_node::LimitConnections(instant aNow)
+{
+  const catalogue* content = GetView().GetCatalogue();
+  if (content == nullptr) {
+    return;
+  }
+  std::map<service_name, std::uint64_t> ownSlots;
+  for (const homed_server& server : mDispatcher.ListServers(aNow)) {
+    ownSlots[server.mService] += server.mSlots;
+  }
+  for (const service_entry& service : content->mServices) {
+    std::uint64_t allSlots = 0;
+    for (const zone_summary& zone : mZones) {
+      allSlots += zone.mService == service.mName ? zone.mSlots : 0;
+    }
+    const std::uint64_t own = ownSlots[service.mName];
+    const auto limit = static_cast<std::uint64_t>(service.mMaxConnections);
+    const std::uint64_t share = own * limit / std::max({ allSlots, own, std::uint64_t{ 1 } });
+    mDispatcher.SetConnectionLimit(service.mName,
+                                   static_cast<std::uint32_t>(std::max<std::uint64_t>(share, 1)));
+  }
+}
+
 http_answer entry_node::ListEntryVms(const http_request_received& /*aRequest*/,
                                      present_time aNow) const
 {
--- a/src/citronpulley/node/entry_node.h
+++ b/src/citronpulley/node/entry_node.h
@@ -59,6 +59,8 @@
   void TakeAnnouncement(const server_announcement& aAnnouncement,
                         instant aNow,
                         node_actions& aActions);
+  bool MayHaveOtherHome(const server_announcement& aAnnouncement, instant aNow) const;
+  void LimitConnections(instant aNow);
   http_answer ListEntryVms(const http_request_received& aRequest, present_time aNow) const;
   std::vector<zone_summary> SummariseHomedServers(instant aNow) const;
   void SendHeartbeats(instant aNow, node_actions& aActions);
@@ -72,6 +74,8 @@
   backend_dispatcher mDispatcher;
   std::vector<zone_summary> mZones;
   request_flow mFlow;
+  /** Time of the first event of this run. */
+  instant mStartedAt;
   std::uint64_t mHeartbeatSequence = 0;
   instant mNextHeartbeatAt;
   instant mNextTokenRequestAt;
--- /dev/null
+++ b/src/citronpulley/node/request_checks.cpp
@@ -0,0 +1,111 @@
+#include "citronpulley/node/request_checks.h"
+
+#include "citronpulley/state/claim_table.h"
+
+#include <algorithm>
+#include <string>
+
+namespace citronpulley {
+
+namespace {
+
+/** Digest by which a repeated request is recognised, whatever its headers are. */
+digest ComputeFingerprint(const active_request& aRequest)
+{
+  std::string text;
+  for (const std::string* part : { &aRequest.mWorkspace.mValue,
+                                   &aRequest.mService.mValue,
+                                   &aRequest.mRequest.mMethod,
+                                   &aRequest.mRequest.mTarget,
+                                   &aRequest.mRequest.mBody }) {
+    text += std::to_string(part->size()) + ":" + *part;
+  }
+  return ComputeDigest(text);
+}
+
+std::optional<error> Authenticate(const check_parts& aParts,
+                                  const caller_frame& aFrame,
+                                  active_request& aRequest,
+                                  instant aNow)
+{
+  if (!aFrame.mKey) {
+    return MakeError(error_code::Unauthorized, step::Authenticate, "", "the route needs a key");
+  }
+  if (!aParts.mLink.IsFresh(aNow)) {
+    return MakeError(error_code::NotFresh,
+                     step::Authenticate,
+                     aParts.mSelf.mValue,
+                     "this VM cannot confirm that the key is still valid");
+  }
+  const key_record* record = aParts.mLink.GetView().FindKey(aFrame.mKey->mKey);
+  // A digest is computed for unknown keys too, so that the time tells nothing about which ids
+  // exist.
+  const key_digest shown = ComputeKeyDigest(aFrame.mKey->mSecret, aParts.mSecret);
+  if (record == nullptr || !(record->mDigest == shown)) {
+    return MakeError(error_code::Unauthorized, step::Authenticate, "", "the key is not valid");
+  }
+  if (aParts.mLink.GetView().GetCatalogue()->FindWorkspace(record->mWorkspace) == nullptr) {
+    return MakeError(
+      error_code::Unauthorized, step::Authenticate, "", "the key's workspace is not configured");
+  }
+  aRequest.mWorkspace = record->mWorkspace;
+  return std::nullopt;
+}
+
+} // namespace
+
+std::optional<error> CheckRequest(const check_parts& aParts,
+                                  const caller_frame& aFrame,
+                                  active_request& aRequest,
+                                  instant aNow)
+{
+  aRequest.mService = aFrame.mService;
+  aRequest.mTrace = aFrame.mTrace;
+  const catalogue* content = aParts.mLink.GetView().GetCatalogue();
+  if (content == nullptr) {
+    return MakeError(
+      error_code::NotReady, step::ReadRequest, "", "no configuration has been received yet");
+  }
+  const service_entry* service = content->FindService(aFrame.mService);
+  if (service == nullptr) {
+    return MakeError(error_code::UnknownService, step::Route, "", "the service is not configured");
+  }
+  const service_route* route = FindRoute(*service, aFrame.mRequest.mMethod, aFrame.mPath);
+  if (route == nullptr) {
+    return MakeError(
+      error_code::UnknownRoute, step::Route, "", "no route matches the method and path");
+  }
+  if (!route->mIsOpen) {
+    if (std::optional<error> refusal = Authenticate(aParts, aFrame, aRequest, aNow)) {
+      return refusal;
+    }
+  }
+  aRequest.mIsIdempotent = route->mIsIdempotent;
+  aRequest.mIsUrgent = aFrame.mIsUrgent && route->mAllowsUrgent;
+  const std::int64_t milliseconds =
+    std::min(route->mDeadlineMilliseconds,
+             aFrame.mRemainingMilliseconds.value_or(route->mDeadlineMilliseconds));
+  aRequest.mDeadline = aNow + std::chrono::milliseconds(milliseconds);
+  aRequest.mRequest = aFrame.mRequest;
+  aRequest.mFingerprint = ComputeFingerprint(aRequest);
+  if (!aRequest.mIsIdempotent) {
+    if (!ReadIdempotencyKeyTime(aFrame.mIdempotencyKey)) {
+      return MakeError(error_code::BadRequest,
+                       step::ReadRequest,
+                       "",
+                       "the route needs an Idempotency-Key header with a UUID of version 7");
+    }
+    aRequest.mIdempotencyKey = aFrame.mIdempotencyKey;
+  }
+  const suspect_record* suspect = aParts.mLink.GetView().FindSuspect(aRequest.mFingerprint);
+  if (suspect != nullptr && suspect->mIsQuarantined) {
+    return MakeError(error_code::Quarantined,
+                     step::Admit,
+                     "",
+                     "the request crashed backend servers; fingerprint " +
+                       ToHex(aRequest.mFingerprint));
+  }
+  return std::nullopt;
+}
+
+} // namespace citronpulley
--- a/src/citronpulley/node/request_flow.h
+++ b/src/citronpulley/node/request_flow.h
@@ -3,17 +3,21 @@
 
 #include "citronpulley/dispatch/backend_dispatcher.h"
 #include "citronpulley/limits/rate_wallet.h"
+#include "citronpulley/limits/retry_budget.h"
 #include "citronpulley/membership/zone_directory.h"
 #include "citronpulley/node/active_request.h"
+#include "citronpulley/node/claim_coordinator.h"
 #include "citronpulley/node/control_link.h"
 #include "citronpulley/node/node_actions.h"
+#include "citronpulley/node/request_table.h"
+#include "citronpulley/node/suspect_coordinator.h"
 #include "citronpulley/routing/routing_policy.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,6 +68,7 @@
   /** The VM that forwarded a request gave it up. */
   void CancelForwarded(const vm_name& aSender,
                        const forward_cancel& aCancel,
+                       instant aNow,
                        node_actions& aActions);
 
   /** Takes the answer of the VM to which a request was forwarded. */
@@ -76,7 +81,16 @@
   void AcceptClaim(const claim_reply& aReply, instant aNow, node_actions& aActions);
 
   /** Takes the acknowledgement of a recorded outcome. */
-  void AcceptRecorded(const claim_outcome_reply& aReply);
+  void AcceptRecorded(const claim_outcome_reply& aReply) { mClaims.AcceptRecorded(aReply); }
+
+  /** Takes the verdict on the lease of a crash suspect. */
+  void AcceptLease(const suspect_lease_reply& aReply, instant aNow, node_actions& aActions);
+
+  /** Takes another VM's report of a crash, ahead of the replicated state. */
+  void AcceptCrash(const crash_report& aReport, instant aNow) { mSuspects.Note(aReport, aNow); }
+
+  /** Tries the requests again that wait for tokens; call it when tokens were granted. */
+  void RetryTokens(instant aNow, node_actions& aActions);
 
   /** The connection to a VM is gone: requests forwarded to it may have run. */
   void LosePeer(const vm_name& aPeer, instant aNow, node_actions& aActions);
@@ -86,28 +100,21 @@
                         instant aNow,
                         node_actions& aActions);
 
-  /** Tries waiting requests again and ends those whose deadline is over. */
+  /** Sends again what was not answered and ends requests whose deadline is over. */
   void Tick(instant aNow, node_actions& aActions);
 
   /** @return requests in flight and outcomes that are not recorded yet */
-  std::size_t GetPendingCount() const noexcept { return mRequests.size() + mOutcomes.size(); }
+  std::size_t GetPendingCount() const noexcept
+  {
+    return mRequests.GetCount() + mClaims.GetPendingCount();
+  }
 
 private:
-  struct unrecorded_outcome
-  {
-    claim_outcome mOutcome;
-    instant mSendAgainAt;
-  };
-
-  std::optional<error> Prepare(const caller_frame& aFrame,
-                               active_request& aRequest,
-                               instant aNow) const;
-  std::optional<error> Authenticate(const caller_frame& aFrame,
-                                    active_request& aRequest,
-                                    instant aNow) const;
   void Admit(active_request& aRequest, bool aIsRetry, instant aNow, node_actions& aActions);
   void SendClaim(active_request& aRequest, instant aNow, node_actions& aActions);
+  void SendLeaseRequest(active_request& aRequest, instant aNow, node_actions& aActions);
   void Run(active_request& aRequest, instant aNow, node_actions& aActions);
+  void RunAdmitted(active_request& aRequest, instant aNow, node_actions& aActions);
   void RunInZone(active_request& aRequest, instant aNow, node_actions& aActions);
   void RunHere(active_request& aRequest, instant aNow, node_actions& aActions);
   void Forward(active_request& aRequest,
@@ -117,6 +124,7 @@
                node_actions& aActions);
   bool ChooseZone(active_request& aRequest, instant aNow);
   std::map<std::string, double> GetCosts(const active_request& aRequest, instant aNow) const;
+  bool CanRetry(const active_request& aRequest, const request_failure& aFailure, instant aNow);
   void FailAttempt(std::uint64_t aNumber,
                    const request_failure& aFailure,
                    instant aNow,
@@ -133,24 +141,22 @@
              const forward_response& aResponse,
              instant aNow,
              node_actions& aActions);
-  void RecordOutcome(const active_request& aRequest,
-                     const http_answer* aAnswer,
-                     instant aNow,
-                     node_actions& aActions);
-  void Abandon(active_request& aRequest, node_actions& aActions);
-  active_request* FindAttempt(std::uint64_t aAttempt, const vm_name& aVm) noexcept;
-  claim_holder MakeHolder(const active_request& aRequest) const;
+  void Abandon(active_request& aRequest, instant aNow, node_actions& aActions);
+  void HandleDue(active_request& aRequest, instant aNow, node_actions& aActions);
+  void FailAtDeadline(active_request& aRequest, instant aNow, node_actions& aActions);
   std::string DrawSpanId();
 
   flow_parts mParts;
   std::mt19937_64 mRandom;
   std::unique_ptr<routing_policy> mPolicy;
   std::string mPolicyName;
-  std::map<std::uint64_t, active_request> mRequests;
-  std::map<std::uint64_t, std::uint64_t> mByAttempt;
-  std::map<claim_holder, unrecorded_outcome> mOutcomes;
+  request_table mRequests;
+  claim_coordinator mClaims;
+  suspect_coordinator mSuspects;
+  retry_budget mRetries;
+  /** Requests that wait for tokens, in the order of their arrival. */
+  std::set<std::uint64_t> mWaitingForTokens;
   std::uint64_t mLastNumber = 0;
-  std::uint64_t mLastAttempt = 0;
 };
 
 } // namespace citronpulley
--- a/src/citronpulley/runtime/backend_client.cpp
+++ b/src/citronpulley/runtime/backend_client.cpp
@@ -94,6 +94,11 @@
 
   void Start()
   {
+    if (mRemaining <= microseconds(0)) {
+      // The process was frozen between the decision and this call.
+      Fail(error_code::DeadlineExceeded, step::Connect, "the deadline is over", false);
+      return;
+    }
     std::vector<std::unique_ptr<beast::tcp_stream>>& idle = mClient->mIdle[mServer];
     while (!idle.empty()) {
       mStream = std::move(idle.back());
--- /dev/null
+++ b/tests/node/at_most_once_test.cpp
@@ -0,0 +1,273 @@
+#include "node/test_fleet.h"
+
+#include <random>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronpulley;
+
+TEST_GROUP(at_most_once)
+{
+  void setup() override
+  {
+    mFleet.AddServer("s1", "vm1");
+    mFleet.Run(4'000);
+  }
+
+  test_call MakeCall(const std::string& aVm, int aKey)
+  {
+    test_call call;
+    call.mVm = vm_name(aVm);
+    call.mIdempotencyKey = MakeTestKey(mFleet, aKey);
+    return call;
+  }
+
+  /** @return answer of a repeat on another VM */
+  std::string Repeat(test_call aCall, const std::string& aVm, int aMilliseconds = 1'200)
+  {
+    aCall.mVm = vm_name(aVm);
+    const std::uint64_t call = mFleet.Call(aCall);
+    mFleet.Run(aMilliseconds);
+    return mFleet.Describe(call);
+  }
+
+  void CheckHistory()
+  {
+    STRCMP_EQUAL("", mFleet.FindFault().c_str());
+  }
+
+  /** @return VM that sends to the server, and another one */
+  std::pair<std::string, std::string> FindHome()
+  {
+    test_call call;
+    call.mVm = vm_name("vm1");
+    call.mMethod = "GET";
+    call.mTarget = "/svc/orders/list";
+    mFleet.Call(call);
+    mFleet.Run(500);
+    CHECK_FALSE(mFleet.mRuns.empty());
+    const std::string home = mFleet.mRuns.back().mSender.mValue;
+    return { home, home == "vm1" ? "vm2" : "vm1" };
+  }
+
+  /** Drops the first messages of a type that a VM sends or gets. */
+  template<typename Message>
+  void DropFirst(int aCount)
+  {
+    mFleet.mOnMessage =
+      [aCount](const vm_name&,
+               const vm_name&,
+               const peer_message& aMessage) mutable -> std::optional<microseconds> {
+      if (std::holds_alternative<Message>(aMessage) && aCount-- > 0) {
+        return std::nullopt;
+      }
+      return microseconds(0);
+    };
+  }
+
+  test_fleet mFleet{ { "a", "a", "a" } };
+};
+
+/** Guards against a second run when the entry VM dies at any step between accepting and recording.
+ */
+TEST(at_most_once, entry_vm_dies_at_each_step)
+{
+  for (int after = 0; after < 36; after += 2) {
+    const std::string entry = FindHome().second;
+    const test_call call = MakeCall(entry, after);
+    mFleet.Call(call);
+    mFleet.Run(after);
+    mFleet.Kill(entry);
+    Repeat(call, "vm3");
+    mFleet.Start(entry);
+    mFleet.Run(1'000);
+    Repeat(call, entry);
+    CheckHistory();
+  }
+}
+
+/** Guards against a second run when the home VM of the server dies while it runs the request. */
+TEST(at_most_once, home_vm_dies_at_each_step)
+{
+  for (int after = 0; after < 36; after += 3) {
+    const auto [home, entry] = FindHome();
+    const test_call call = MakeCall(entry, after);
+    const std::uint64_t number = mFleet.Call(call);
+    mFleet.Run(after);
+    mFleet.Kill(home);
+    Repeat(call, entry);
+    CHECK(mFleet.Describe(number) != "no answer");
+    mFleet.Start(home);
+    mFleet.Run(8'000);
+    Repeat(call, "vm3");
+    CheckHistory();
+  }
+}
+
+/** Guards against a lost reply or a lost outcome that makes a request run twice or lose its
+ * recorded answer. */
+TEST(at_most_once, lost_control_replies_are_made_up_for)
+{
+  const test_call first = MakeCall("vm1", 1);
+  DropFirst<claim_reply>(2);
+  mFleet.Call(first);
+  mFleet.Run(1'500);
+  STRCMP_EQUAL(Repeat(first, "vm2").c_str(), ("done boats " + first.mIdempotencyKey).c_str());
+  const test_call second = MakeCall("vm1", 2);
+  DropFirst<claim_outcome>(3);
+  mFleet.Call(second);
+  mFleet.Run(100);
+  STRCMP_EQUAL("unknown", Repeat(second, "vm2", 100).c_str());
+  mFleet.Run(1'500);
+  STRCMP_EQUAL(Repeat(second, "vm3").c_str(), ("done boats " + second.mIdempotencyKey).c_str());
+  const test_call third = MakeCall("vm1", 3);
+  DropFirst<claim_outcome_reply>(3);
+  mFleet.Call(third);
+  mFleet.Run(1'500);
+  STRCMP_EQUAL(Repeat(third, "vm2").c_str(), ("done boats " + third.mIdempotencyKey).c_str());
+  LONGS_EQUAL(1, mFleet.CountRuns(third.mIdempotencyKey));
+  CheckHistory();
+}
+
+/** Guards against a key that stays claimed for good because its claim arrives after its release. */
+TEST(at_most_once, claim_that_arrives_after_its_release_leaves_the_key_free)
+{
+  test_call call = MakeCall("vm1", 1);
+  call.mDeadlineMilliseconds = 100;
+  mFleet.mOnMessage = [](const vm_name&,
+                         const vm_name&,
+                         const peer_message& aMessage) -> std::optional<microseconds> {
+    return microseconds(std::holds_alternative<claim_request>(aMessage) ? 400'000 : 0);
+  };
+  const std::uint64_t number = mFleet.Call(call);
+  mFleet.Run(300);
+  STRCMP_EQUAL("not_run", mFleet.Describe(number).c_str());
+  mFleet.Run(1'000);
+  mFleet.mOnMessage = nullptr;
+  call.mDeadlineMilliseconds = 1'000;
+  STRCMP_EQUAL(Repeat(call, "vm2").c_str(), ("done boats " + call.mIdempotencyKey).c_str());
+  CheckHistory();
+}
+
+/** Guards against a frozen entry VM that wakes after the deadline and sends the claimed request. */
+TEST(at_most_once, frozen_entry_vm_does_not_run_after_the_deadline)
+{
+  for (int after = 0; after < 6; ++after) {
+    const test_call call = MakeCall("vm2", after);
+    const std::uint64_t number = mFleet.Call(call);
+    mFleet.Run(after);
+    mFleet.Freeze("vm2");
+    mFleet.Run(1'800);
+    const std::size_t runs = mFleet.mRuns.size();
+    mFleet.Thaw("vm2");
+    mFleet.Run(300);
+    LONGS_EQUAL(runs, mFleet.mRuns.size());
+    CHECK(mFleet.Describe(number) != "no answer");
+    Repeat(call, "vm3");
+    mFleet.Run(5'000);
+    CheckHistory();
+  }
+}
+
+/** Guards against a repeat that runs again, sees another workspace's answer, or passes with another
+ * body or an old key. */
+TEST(at_most_once, repeats_get_the_first_answer_or_a_truthful_refusal)
+{
+  test_call call = MakeCall("vm1", 1);
+  STRCMP_EQUAL(Repeat(call, "vm1").c_str(), ("done boats " + call.mIdempotencyKey).c_str());
+  STRCMP_EQUAL(Repeat(call, "vm2").c_str(), ("done boats " + call.mIdempotencyKey).c_str());
+  test_call other = call;
+  other.mBody = "another body";
+  STRCMP_EQUAL("not_run", Repeat(other, "vm2").c_str());
+  other = call;
+  other.mKey = "cpk_k2_secret2";
+  STRCMP_EQUAL(Repeat(other, "vm3").c_str(), ("done nets " + call.mIdempotencyKey).c_str());
+  LONGS_EQUAL(2, mFleet.CountRuns(call.mIdempotencyKey));
+  test_call old = call;
+  old.mIdempotencyKey = MakeTestKey(mFleet, 2, 3'600'000);
+  STRCMP_EQUAL("not_run", Repeat(old, "vm1").c_str());
+  LONGS_EQUAL(0, mFleet.CountRuns(old.mIdempotencyKey));
+  mFleet.Run(60'000);
+  mFleet.SetWindow(60);
+  STRCMP_EQUAL("not_run", Repeat(call, "vm1").c_str());
+  mFleet.SetWindow(36'000);
+  STRCMP_EQUAL("not_run", Repeat(call, "vm1").c_str());
+  CheckHistory();
+}
+
+/** Guards against two VMs that both run a request with one key. */
+TEST(at_most_once, two_vms_that_race_run_it_once)
+{
+  for (int key = 0; key < 10; ++key) {
+    test_call call = MakeCall("vm1", key);
+    mFleet.Call(call);
+    call.mVm = vm_name("vm2");
+    mFleet.Run(key % 3);
+    mFleet.Call(call);
+    mFleet.Run(200);
+    LONGS_EQUAL(1, mFleet.CountRuns(call.mIdempotencyKey));
+    CheckHistory();
+  }
+}
+
+/** Guards against combinations of lost and delayed messages, deaths, freezes, refusing servers and
+ * gone callers that run a key twice or say `not_run` of a request that ran. */
+TEST(at_most_once, random_faults_keep_the_history_truthful)
+{
+  for (std::uint64_t seed = 1; seed <= GetSeedCount(12); ++seed) {
+    test_fleet fleet({ "a", "a", "b" });
+    fleet.AddServer("s1", "vm1", 2).mServiceTime = microseconds(60'000);
+    fleet.AddServer("s2", "vm2", 2);
+    fleet.AddServer("s3", "vm3", 2);
+    fleet.Run(4'000);
+    std::mt19937_64 random(seed);
+    fleet.mOnMessage = [&random](const vm_name&,
+                                 const vm_name&,
+                                 const peer_message&) -> std::optional<microseconds> {
+      const std::uint64_t draw = random() % 100;
+      if (draw < 4) {
+        return std::nullopt;
+      }
+      return microseconds(draw < 20 ? random() % 400'000 : 0);
+    };
+    std::vector<test_call> calls;
+    for (int step = 0; step < 300; ++step) {
+      const std::string vm = "vm" + std::to_string(random() % 3 + 1);
+      const std::string lastVm = "vm" + std::to_string(random() % 3 + 1);
+      const std::uint64_t draw = random() % 100;
+      if (draw < 50 || calls.empty()) {
+        test_call call;
+        call.mIdempotencyKey = MakeTestKey(fleet, step);
+        call.mDeadlineMilliseconds = 50 + static_cast<int>(random() % 500);
+        call.mVm = vm_name(vm);
+        calls.push_back(call);
+        fleet.Call(call);
+      } else if (draw < 80) {
+        test_call call = calls[random() % calls.size()];
+        call.mVm = vm_name(vm);
+        fleet.Call(call);
+      } else if (draw < 84) {
+        fleet.Kill(vm);
+        fleet.Start(vm);
+      } else if (draw < 88) {
+        fleet.Freeze(vm);
+      } else if (draw < 94) {
+        fleet.Thaw(vm);
+      } else if (draw < 97) {
+        fleet.mServers.at(server_name("s" + std::to_string(random() % 3 + 1))).mRefuses =
+          random() % 2 == 0;
+      } else {
+        fleet.HangUp(lastVm, fleet.mCalls.rbegin()->first);
+      }
+      fleet.Run(static_cast<int>(random() % 60));
+    }
+    for (const char* vm : { "vm1", "vm2", "vm3" }) {
+      fleet.Thaw(vm);
+    }
+    fleet.Run(3'000);
+    if (!fleet.FindFault().empty()) {
+      FAIL(("seed " + std::to_string(seed) + ": " + fleet.FindFault()).c_str());
+    }
+  }
+}
--- /dev/null
+++ b/tests/node/test_fleet.cpp
@@ -0,0 +1,495 @@
+#include "node/test_fleet.h"
+
+#include "citronpulley/base/overloaded.h"
+#include "citronpulley/node/caller_frame.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+
+namespace citronpulley {
+
+namespace {
+
+constexpr std::int64_t kWallClockStart = 0x018f00000000;
+constexpr microseconds kLatency{ 1'000 };
+const vm_name kControlVm{ "c1" };
+
+std::string MakeText(int aWindowSeconds)
+{
+  return "deployment = \"test\"\nidempotency_window_seconds = " + std::to_string(aWindowSeconds) +
+         R"(
+[[regions]]
+name = "r"
+zones = ["a", "b"]
+capacity_per_second = 100000
+[[services]]
+name = "orders"
+shift_cap_percent_per_minute = 10
+[[services.routes]]
+path = "/"
+methods = ["GET"]
+idempotent = true
+deadline_ms = 5000
+[[services.routes]]
+path = "/new"
+methods = ["POST"]
+deadline_ms = 5000
+[[workspaces]]
+name = "boats"
+rate_per_second = 100000
+burst = 100000
+[[workspaces]]
+name = "nets"
+rate_per_second = 100000
+burst = 100000
+)";
+}
+
+} // namespace
+
+std::uint64_t GetSeedCount(std::uint64_t aInCi)
+{
+  const char* const text = std::getenv("SEEDS");
+  return text == nullptr ? aInCi : std::strtoull(text, nullptr, 10);
+}
+
+std::string MakeTestKey(const test_fleet& aFleet, int aNumber, std::int64_t aAgeMilliseconds)
+{
+  const std::int64_t time =
+    kWallClockStart + aFleet.mNow.time_since_epoch().count() / 1'000 - aAgeMilliseconds;
+  char text[40];
+  std::snprintf(text,
+                sizeof text,
+                "%08llx-%04llx-7000-8000-%012d",
+                static_cast<unsigned long long>(time >> 16),
+                static_cast<unsigned long long>(time & 0xffff),
+                aNumber);
+  return text;
+}
+
+test_fleet::test_fleet(const std::vector<std::string>& aZones)
+{
+  SetWindow(3'600);
+  const std::string secret = "deployment secret";
+  mControl.Apply(
+    ++mLastIndex,
+    { 0,
+      give_key{ {}, key_id("k1"), workspace_name("boats"), ComputeKeyDigest("secret1", secret) } });
+  mControl.Apply(
+    ++mLastIndex,
+    { 0,
+      give_key{ {}, key_id("k2"), workspace_name("nets"), ComputeKeyDigest("secret2", secret) } });
+  for (std::size_t index = 0; index < aZones.size(); ++index) {
+    const std::string name = "vm" + std::to_string(index + 1);
+    vm_slot& vm = mVms[vm_name(name)];
+    vm.mRecord.mVm = vm_name(name);
+    vm.mRecord.mZone = zone_name(aZones[index]);
+    vm.mRecord.mRegion = region_name("r");
+    vm.mRecord.mAddress = name;
+    Start(name);
+  }
+}
+
+test_fleet::~test_fleet() = default;
+
+present_time test_fleet::GetTime() const
+{
+  return { mNow, unix_time{ kWallClockStart + mNow.time_since_epoch().count() / 1'000 } };
+}
+
+void test_fleet::At(microseconds aDelay, std::function<void()> aWork)
+{
+  mWork.emplace(mNow + aDelay, std::move(aWork));
+}
+
+void test_fleet::Start(const std::string& aVm)
+{
+  vm_slot& vm = mVms.at(vm_name(aVm));
+  vm.mRecord.mIncarnation = ++vm.mIncarnation;
+  vm.mNode = std::make_unique<entry_node>(
+    vm.mRecord, std::vector<vm_name>{ kControlVm }, "deployment secret", vm.mIncarnation);
+}
+
+void test_fleet::Kill(const std::string& aVm)
+{
+  const vm_name dead(aVm);
+  vm_slot& vm = mVms.at(dead);
+  vm.mNode.reset();
+  vm.mWaiting.clear();
+  vm.mIsFrozen = false;
+  for (const auto& [name, other] : mVms) {
+    Deliver(name, peer_lost{ dead });
+  }
+}
+
+void test_fleet::Freeze(const std::string& aVm)
+{
+  mVms.at(vm_name(aVm)).mIsFrozen = true;
+}
+
+void test_fleet::Thaw(const std::string& aVm)
+{
+  vm_slot& vm = mVms.at(vm_name(aVm));
+  vm.mIsFrozen = false;
+  const std::vector<node_event> waiting = std::move(vm.mWaiting);
+  vm.mWaiting.clear();
+  for (const node_event& event : waiting) {
+    Deliver(vm.mRecord.mVm, event);
+  }
+}
+
+void test_fleet::SetWindow(int aSeconds)
+{
+  mControl.Apply(++mLastIndex,
+                 { GetTime().mWallClock.mMilliseconds,
+                   submit_configuration{ submission_id(std::to_string(++mSubmissions)),
+                                         mControl.GetConfiguration().mVersion,
+                                         MakeText(aSeconds) } });
+}
+
+fake_server& test_fleet::AddServer(const std::string& aName,
+                                   const std::string& aVm,
+                                   std::uint32_t aSlots)
+{
+  fake_server& server = mServers[server_name(aName)];
+  server.mAnnouncesTo = vm_name(aVm);
+  server.mAnnouncement.mServer = server_name(aName);
+  server.mAnnouncement.mService = service_name("orders");
+  server.mAnnouncement.mZone = mVms.at(vm_name(aVm)).mRecord.mZone;
+  server.mAnnouncement.mSlots = aSlots;
+  server.mAnnouncement.mInstance = aName + "/1";
+  return server;
+}
+
+std::uint64_t test_fleet::Call(const test_call& aCall)
+{
+  http_request_received request;
+  request.mRequest = ++mLastCall;
+  request.mMethod = aCall.mMethod;
+  request.mTarget = aCall.mTarget;
+  request.mBody = aCall.mBody;
+  mCalls.emplace(mLastCall, aCall);
+  request.mHeaders = { { "Authorization", "Bearer " + aCall.mKey },
+                       { "X-Call", std::to_string(mLastCall) },
+                       { "Citronpulley-Deadline-Ms",
+                         std::to_string(aCall.mDeadlineMilliseconds) } };
+  if (!aCall.mIdempotencyKey.empty()) {
+    request.mHeaders.push_back({ "Idempotency-Key", aCall.mIdempotencyKey });
+  }
+  Deliver(aCall.mVm, request);
+  return mLastCall;
+}
+
+void test_fleet::HangUp(const std::string& aVm, std::uint64_t aCall)
+{
+  Deliver(vm_name(aVm), http_client_gone{ aCall });
+}
+
+void test_fleet::Run(int aMilliseconds)
+{
+  for (int step = 0; step < aMilliseconds; ++step) {
+    mNow += microseconds(1'000);
+    while (!mWork.empty() && mWork.begin()->first <= mNow) {
+      const std::function<void()> work = std::move(mWork.begin()->second);
+      mWork.erase(mWork.begin());
+      work();
+    }
+    for (auto& [name, server] : mServers) {
+      if (server.mIsUp && server.mAnnounces && server.mAnnouncesAt <= mNow) {
+        Announce(server);
+      }
+    }
+    if (mNow.time_since_epoch().count() % 5'000 == 0) {
+      for (const auto& [name, vm] : mVms) {
+        if (!vm.mIsFrozen) {
+          Deliver(name, timer_ticked{});
+        }
+      }
+    }
+  }
+}
+
+void test_fleet::Deliver(const vm_name& aVm, const node_event& aEvent)
+{
+  vm_slot& vm = mVms.at(aVm);
+  if (vm.mNode == nullptr) {
+    return;
+  }
+  if (vm.mIsFrozen) {
+    vm.mWaiting.push_back(aEvent);
+    return;
+  }
+  node_actions actions;
+  vm.mNode->Handle(aEvent, GetTime(), actions);
+  Do(aVm, actions);
+}
+
+void test_fleet::Do(const vm_name& aVm, const node_actions& aActions)
+{
+  for (const node_action& action : aActions) {
+    std::visit(
+      overloaded{
+        [&](const reply_to_client& aReply) { mAnswers[aReply.mRequest].push_back(aReply.mAnswer); },
+        [&](const send_peer_message& aSend) { Send(aVm, aSend.mReceiver, aSend.mMessage); },
+        [&](const send_to_backend& aSend) { StartRun(aVm, aSend); },
+        // A server goes on with a request whose connection is closed.
+        [](const auto&) {} },
+      action);
+  }
+}
+
+void test_fleet::Send(const vm_name& aFrom, const vm_name& aTo, const peer_message& aMessage)
+{
+  std::optional<microseconds> delay = microseconds(0);
+  if (mOnMessage) {
+    delay = mOnMessage(aFrom, aTo, aMessage);
+  }
+  if (!delay) {
+    return;
+  }
+  if (aTo == kControlVm) {
+    At(kLatency + *delay, [this, aFrom, aMessage] { AnswerControl(aFrom, aMessage); });
+    return;
+  }
+  const auto found = mVms.find(aTo);
+  if (found == mVms.end()) {
+    return;
+  }
+  At(kLatency + *delay, [this, aTo, aFrom, aMessage, receiver = found->second.mIncarnation] {
+    if (mVms.at(aTo).mIncarnation == receiver) {
+      Deliver(aTo, peer_message_received{ aFrom, aMessage });
+    }
+  });
+}
+
+void test_fleet::AnswerControl(const vm_name& aSender, const peer_message& aMessage)
+{
+  const auto apply = [&](command_content aContent) {
+    return mControl.Apply(++mLastIndex,
+                          { GetTime().mWallClock.mMilliseconds, std::move(aContent) });
+  };
+  vm_slot& sender = mVms.at(aSender);
+  std::visit(overloaded{ [&](const poll& aPoll) {
+                          sender.mPolledAt = mNow;
+                          sender.mHomed = aPoll.mHomedServers;
+                          poll_reply reply;
+                          reply.mPollNumber = aPoll.mPollNumber;
+                          reply.mLeader = kControlVm;
+                          if (aPoll.mAppliedIndex < mControl.GetIndex()) {
+                            reply.mDelta = EncodeDelta(mControl.MakeDelta(aPoll.mAppliedIndex));
+                          }
+                          for (const auto& [name, vm] : mVms) {
+                            if (vm.mPolledAt + microseconds(3'000'000) > mNow) {
+                              reply.mLiveVms.push_back(vm.mRecord);
+                              reply.mZones.insert(
+                                reply.mZones.end(), vm.mHomed.begin(), vm.mHomed.end());
+                            }
+                          }
+                          Send(kControlVm, aSender, reply);
+                        },
+                         [&](const grant_request& aRequest) {
+                           grant_reply reply{ aRequest.mRequestNumber, true, kControlVm, {} };
+                           for (const resource_demand& demand : aRequest.mDemands) {
+                             reply.mGrants.push_back(
+                               { demand.mResource, ++mLastGrant, demand.mWanted + 10, 1'000'000 });
+                           }
+                           Send(kControlVm, aSender, reply);
+                         },
+                         [&](const claim_request& aRequest) {
+                           auto reply = std::get<claim_reply>(apply(aRequest));
+                           reply.mLeader = kControlVm;
+                           Send(kControlVm, aSender, reply);
+                         },
+                         [&](const claim_outcome& aOutcome) {
+                           auto reply = std::get<claim_outcome_reply>(apply(aOutcome));
+                           reply.mLeader = kControlVm;
+                           Send(kControlVm, aSender, reply);
+                         },
+                         [&](const crash_report& aReport) { apply(aReport); },
+                         [&](const suspect_lease_request& aRequest) {
+                           auto reply = std::get<suspect_lease_reply>(apply(aRequest));
+                           reply.mLeader = kControlVm;
+                           Send(kControlVm, aSender, reply);
+                         },
+                         [](const auto&) {} },
+             aMessage);
+}
+
+void test_fleet::StartRun(const vm_name& aVm, const send_to_backend& aSend)
+{
+  fake_server& server = mServers.at(aSend.mServer);
+  const auto finish = [&](backend_outcome aOutcome) {
+    At(kLatency,
+       [this, aVm, number = mVms.at(aVm).mIncarnation, aSend, outcome = std::move(aOutcome)] {
+         if (mVms.at(aVm).mIncarnation == number) {
+           Deliver(aVm, backend_finished{ aSend.mDispatch, outcome });
+         }
+       });
+  };
+  if (!server.mIsUp) {
+    finish(backend_failure{
+      MakeError(error_code::ConnectionLost, step::Connect, aSend.mServer.mValue, "refused"),
+      false });
+    return;
+  }
+  const std::vector<http_header>& headers = aSend.mRequest.mHeaders;
+  fake_run seen{ aSend.mServer,
+                 server.mAnnouncement.mInstance,
+                 std::string(FindHeader(headers, "citronpulley-workspace")),
+                 std::string(FindHeader(headers, "idempotency-key")),
+                 aSend.mRequest.mBody,
+                 std::string(FindHeader(headers, "x-call")),
+                 aVm,
+                 server.mRefuses };
+  mRuns.push_back(seen);
+  if (server.mRefuses) {
+    finish(http_answer{ 503, { { "Citronpulley-Not-Run", "true" } }, "busy" });
+    return;
+  }
+  ++server.mRunning;
+  server.mMostRunning = std::max(server.mMostRunning, server.mRunning);
+  const running run{
+    aVm, mVms.at(aVm).mIncarnation, aSend.mDispatch, aSend.mServer, server.mAnnouncement.mInstance
+  };
+  mRunningNow.push_back(run);
+  if (!server.mPoison.empty() && aSend.mRequest.mBody == server.mPoison) {
+    At(microseconds(5'000), [this, run] {
+      fake_server& crashed = mServers.at(run.mServer);
+      if (crashed.mAnnouncement.mInstance == run.mInstance && crashed.mIsUp) {
+        Crash(crashed);
+      }
+    });
+    return;
+  }
+  const std::string answer =
+    "done " + seen.mWorkspace + " " + (seen.mKey.empty() ? "call " + seen.mCall : seen.mKey);
+  At(server.mServiceTime, [this, run, answer] { EndRun(run, answer); });
+}
+
+void test_fleet::EndRun(const running& aRun, const std::string& aAnswer)
+{
+  fake_server& server = mServers.at(aRun.mServer);
+  if (!server.mIsUp || server.mAnnouncement.mInstance != aRun.mInstance) {
+    return;
+  }
+  --server.mRunning;
+  std::erase_if(mRunningNow, [&](const running& aOther) {
+    return aOther.mVm == aRun.mVm && aOther.mIncarnation == aRun.mIncarnation &&
+           aOther.mDispatch == aRun.mDispatch;
+  });
+  if (mVms.at(aRun.mVm).mIncarnation == aRun.mIncarnation) {
+    Deliver(aRun.mVm, backend_finished{ aRun.mDispatch, http_answer{ 200, {}, aAnswer } });
+  }
+}
+
+void test_fleet::Crash(fake_server& aServer)
+{
+  ++aServer.mCrashes;
+  aServer.mIsUp = false;
+  aServer.mRunning = 0;
+  const server_name name = aServer.mAnnouncement.mServer;
+  std::vector<running> lost;
+  std::copy_if(mRunningNow.begin(),
+               mRunningNow.end(),
+               std::back_inserter(lost),
+               [&](const running& aRun) { return aRun.mServer == name; });
+  std::erase_if(mRunningNow, [&](const running& aRun) { return aRun.mServer == name; });
+  for (const running& run : lost) {
+    if (mVms.at(run.mVm).mIncarnation == run.mIncarnation) {
+      Deliver(run.mVm,
+              backend_finished{ run.mDispatch,
+                                backend_failure{ MakeError(error_code::ConnectionLost,
+                                                           step::ReadFromBackend,
+                                                           name.mValue,
+                                                           "end of stream"),
+                                                 true } });
+    }
+  }
+  At(aServer.mRestartTime, [this, name] {
+    fake_server& server = mServers.at(name);
+    server.mIsUp = true;
+    server.mAnnouncement.mInstance = name.mValue + "/" + std::to_string(server.mCrashes + 1);
+    server.mAnnouncesAt = mNow;
+  });
+}
+
+void test_fleet::Announce(fake_server& aServer)
+{
+  aServer.mAnnouncesAt = mNow + microseconds(500'000);
+  aServer.mAnnouncement.mRunning = aServer.mRunning;
+  // Like a real server it turns to another VM of its zone when the first one does not answer.
+  for (const auto& [name, vm] : mVms) {
+    const vm_slot& first = mVms.at(aServer.mAnnouncesTo);
+    if (first.mNode != nullptr && !first.mIsFrozen) {
+      break;
+    }
+    if (vm.mNode != nullptr && !vm.mIsFrozen && vm.mRecord.mZone == aServer.mAnnouncement.mZone) {
+      aServer.mAnnouncesTo = name;
+    }
+  }
+  Deliver(aServer.mAnnouncesTo,
+          peer_message_received{ aServer.mAnnouncesTo, announce_forward{ aServer.mAnnouncement } });
+}
+
+std::string test_fleet::FindFault() const
+{
+  std::map<std::string, int> runsByKey;
+  std::map<std::string, int> runsByCall;
+  for (const fake_run& run : mRuns) {
+    if (run.mIsRefused) {
+      continue;
+    }
+    ++runsByCall[run.mCall];
+    if (!run.mKey.empty() && ++runsByKey[run.mWorkspace + " " + run.mKey] > 1) {
+      return "key " + run.mKey + " ran more than once";
+    }
+  }
+  for (const auto& [number, call] : mCalls) {
+    const std::string name = std::to_string(number);
+    const std::string said = Describe(number);
+    const std::string owner = call.mKey == "cpk_k1_secret1" ? "boats" : "nets";
+    const std::string item = call.mIdempotencyKey.empty() ? "call " + name : call.mIdempotencyKey;
+    if (said == "several answers") {
+      return "call " + name + " got several answers";
+    }
+    if (said == "not_run" && runsByCall.contains(name)) {
+      return "call " + name + " ran but was said not to have run";
+    }
+    std::string expected("done ");
+    expected.append(owner).append(" ").append(item);
+    if (said.starts_with("done ") && said != expected) {
+      return std::string("call ").append(name).append(" got another answer: ").append(said);
+    }
+  }
+  return {};
+}
+
+int test_fleet::CountRuns(const std::string& aKey) const
+{
+  return static_cast<int>(std::count_if(mRuns.begin(), mRuns.end(), [&](const fake_run& aRun) {
+    return aRun.mKey == aKey && !aRun.mIsRefused;
+  }));
+}
+
+std::string test_fleet::Describe(std::uint64_t aCall) const
+{
+  const auto found = mAnswers.find(aCall);
+  if (found == mAnswers.end()) {
+    return "no answer";
+  }
+  if (found->second.size() > 1) {
+    return "several answers";
+  }
+  const http_answer& answer = found->second.front();
+  boost::system::error_code failure;
+  const boost::json::value document = boost::json::parse(answer.mBody, failure);
+  if (failure || !document.is_object()) {
+    return answer.mBody;
+  }
+  return std::string(document.at("error").at("outcome").as_string());
+}
+
+} // namespace citronpulley
