--- a/src/citronpulley/node/request_flow.cpp
+++ b/src/citronpulley/node/request_flow.cpp
@@ -449,8 +449,7 @@
 void request_flow::HandleDue(active_request& aRequest, instant aNow, node_actions& aActions)
 {
   if (aRequest.mDueAt > aNow) {
-    // It was scheduled anew while this tick handled another request.
-    return;
+    return; // It was scheduled anew while this tick handled another request.
   }
   if (aRequest.mStage == request_stage::WaitsForTokens) {
     mWaitingForTokens.erase(aRequest.mNumber);
