Count an abandoned request until it has left the peak of the own count

Cause: a request that reached its deadline was dropped from the count at the first report 150 ms later. The peak of the own count, which stands for the moment that a report shows, still held it then, so the report showed no leftover and a third request went to two slots. Ruled out: the hold period of homes that die and restart; the same test passes with deaths and restarts once the count is right. Change: an abandoned request counts for 450 ms, three report delays, before a report replaces it.

--- a/src/citronpulley/dispatch/backend_server.cpp
+++ b/src/citronpulley/dispatch/backend_server.cpp
@@ -13,6 +13,9 @@
 constexpr double kLatencyMemoryMicroseconds = 10e6;
 /** Longest delay between the moment that a load report shows and its arrival. */
 constexpr microseconds kReportDelay{ 150'000 };
+/** An abandoned request counts until it has left the peak of the own count, which covers up to
+ * three report delays; a report shows it as a leftover from then on. */
+constexpr microseconds kAbandonedFor = 3 * kReportDelay;
 constexpr double kLeastLatencyMicroseconds = 1'000;
 
 } // namespace
@@ -44,7 +47,7 @@
   if (aAnnouncement.mHasReport) {
     mReportedAt = aNow;
     std::erase_if(mAbandoned,
-                  [aNow](instant aClosedAt) { return aClosedAt + kReportDelay <= aNow; });
+                  [aNow](instant aClosedAt) { return aClosedAt + kAbandonedFor <= aNow; });
     const std::uint32_t own = GetPeak(aNow) + static_cast<std::uint32_t>(mAbandoned.size());
     mForeign = aAnnouncement.mRunning - std::min(aAnnouncement.mRunning, own);
   }
--- /dev/null
+++ b/tests/node/home_hold_test.cpp
@@ -0,0 +1,45 @@
+#include "node/test_fleet.h"
+
+#include <random>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronpulley;
+
+TEST_GROUP(home_hold){};
+
+/** Guards against a home VM that is killed and starts again, or one that takes over, and sends work
+ * while the requests of the former run still use the slots. */
+TEST(home_hold, slots_hold_across_deaths_and_restarts_of_home_vms)
+{
+  for (std::uint64_t seed = 1; seed <= GetSeedCount(6); ++seed) {
+    test_fleet fleet({ "a", "a", "a" });
+    fake_server& server = fleet.AddServer("s1", "vm1", 2);
+    server.mServiceTime = microseconds(700'000);
+    fleet.Run(14'000);
+    std::mt19937_64 random(seed);
+    for (int step = 0; step < 400; ++step) {
+      test_call call;
+      call.mVm = vm_name("vm" + std::to_string(random() % 3 + 1));
+      call.mMethod = "GET";
+      call.mTarget = "/svc/orders/list";
+      call.mDeadlineMilliseconds = 2'000;
+      fleet.Call(call);
+      if (random() % 60 == 0) {
+        const std::string vm = "vm" + std::to_string(random() % 3 + 1);
+        fleet.Kill(vm);
+        fleet.Run(static_cast<int>(random() % 3'000));
+        fleet.Start(vm);
+      }
+      fleet.Run(50);
+    }
+    if (server.mMostRunning > 2) {
+      FAIL(("seed " + std::to_string(seed) + ": " + std::to_string(server.mMostRunning) +
+            " requests on 2 slots")
+             .c_str());
+    }
+    STRCMP_EQUAL("", fleet.FindFault().c_str());
+    CHECK(fleet.mRuns.size() > 20);
+  }
+}
