--- a/src/citronpulley/consensus/consensus_group.cpp
+++ b/src/citronpulley/consensus/consensus_group.cpp
@@ -40,6 +40,11 @@
   mCommitIndex = mBaseIndex;
   mAppliedIndex = mBaseIndex;
   ResetElectionTimer(aNow);
+  const group_membership& present = GetMembership();
+  if (present.CountVoters() == 1 && present.IsVoter(mSelf)) {
+    // The only voter has nobody to wait for.
+    mElectionAt = aNow;
+  }
 }
 
 const group_membership& consensus_group::GetMembership() const noexcept
--- a/src/citronpulley/limits/limits.h
+++ b/src/citronpulley/limits/limits.h
@@ -12,6 +12,7 @@
 #include "citronpulley/limits/grant_authority.h"
 #include "citronpulley/limits/rate_ledger.h"
 #include "citronpulley/limits/rate_wallet.h"
+#include "citronpulley/limits/retry_budget.h"
 #include "citronpulley/limits/static_share.h"
 #include "citronpulley/limits/token_unit.h"
 
--- a/src/citronpulley/node/control_node.cpp
+++ b/src/citronpulley/node/control_node.cpp
@@ -219,6 +219,7 @@
       [&](const claim_request& aRequest) { HandleClaim(sender, aRequest, aNow, aActions); },
       [&](const claim_outcome& aOutcome) { HandleOutcome(sender, aOutcome, aNow, aActions); },
       [&](const crash_report& aReport) { HandleCrash(sender, aReport, aNow, aActions); },
+      [&](const suspect_lease_request& aRequest) { HandleLease(sender, aRequest, aNow, aActions); },
       [&](const fleet_report& aReport) { mFleet.TakeReport(aReport, now); },
       [&](const auto&) {
         // Only control VMs take part in the group.
@@ -273,6 +274,27 @@
     aActions);
 }
 
+void control_node::HandleLease(const vm_name& aSender,
+                               const suspect_lease_request& aRequest,
+                               present_time aNow,
+                               node_actions& aActions)
+{
+  mReplica.Propose(
+    aRequest,
+    aNow,
+    [this, aSender, aRequest](const apply_result* aOutcome, node_actions& aLater) {
+      suspect_lease_reply reply;
+      reply.mFingerprint = aRequest.mFingerprint;
+      reply.mHolder = aRequest.mHolder;
+      if (aOutcome != nullptr) {
+        reply = std::get<suspect_lease_reply>(*aOutcome);
+      }
+      reply.mLeader = mReplica.GetGroup().GetLeaderVm();
+      aLater.emplace_back(send_peer_message{ aSender, std::move(reply) });
+    },
+    aActions);
+}
+
 void control_node::HandleCrash(const vm_name& aSender,
                                const crash_report& aReport,
                                present_time aNow,
--- a/src/citronpulley/node/control_node.h
+++ b/src/citronpulley/node/control_node.h
@@ -76,6 +76,10 @@
                      const claim_outcome& aOutcome,
                      present_time aNow,
                      node_actions& aActions);
+  void HandleLease(const vm_name& aSender,
+                   const suspect_lease_request& aRequest,
+                   present_time aNow,
+                   node_actions& aActions);
   void HandleCrash(const vm_name& aSender,
                    const crash_report& aReport,
                    present_time aNow,
--- a/src/citronpulley/node/entry_node.h
+++ b/src/citronpulley/node/entry_node.h
@@ -64,6 +64,8 @@
   void TakeAnnouncement(const server_announcement& aAnnouncement,
                         instant aNow,
                         node_actions& aActions);
+  bool MayHaveOtherHome(const server_announcement& aAnnouncement, instant aNow) const;
+  void LimitConnections(instant aNow);
   http_answer ListEntryVms(const http_request_received& aRequest, present_time aNow) const;
   std::vector<zone_summary> SummariseHomedServers(instant aNow) const;
   void DetectFailures(instant aNow, node_actions& aActions);
@@ -83,6 +85,8 @@
   request_flow mFlow;
   fleet_gauges mGauges;
   std::vector<zone_summary> mZones;
+  /** Time of the first event of this run. */
+  instant mStartedAt;
   std::uint64_t mUpdateSequence = 0;
   instant mNextUpdateAt;
   std::vector<homed_server> mLastUpdate;
--- a/src/citronpulley/wire/peer_message.cpp
+++ b/src/citronpulley/wire/peer_message.cpp
@@ -38,6 +38,8 @@
   "link_probe",
   "link_probe_reply",
   "join_request",
+  "suspect_lease_request",
+  "suspect_lease_reply",
 };
 
 } // namespace
--- a/src/citronpulley/wire/peer_message.h
+++ b/src/citronpulley/wire/peer_message.h
@@ -45,7 +45,9 @@
                                   fleet_report,
                                   link_probe,
                                   link_probe_reply,
-                                  join_request>;
+                                  join_request,
+                                  suspect_lease_request,
+                                  suspect_lease_reply>;
 
 /** @return the encoded message, without envelope */
 std::string EncodeMessage(const peer_message& aMessage);
