Ramp shifts of traffic at the leader by the shift controller

Ruled out: ramps at each entry VM, which would each start anew after a restart. Demand per region is not reported yet, so capacity bounds a plan only through region tokens.

--- a/src/citronpulley/node/control_node.cpp
+++ b/src/citronpulley/node/control_node.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::string_view kBearerPrefix = "Bearer ";
 constexpr microseconds kReportInterval{ 400'000 };
+constexpr microseconds kShiftInterval{ 1'000'000 };
 
 } // namespace
 
@@ -39,7 +40,7 @@
   std::visit(overloaded{
                [&](const http_request_received& aRequest) { HandleHttp(aRequest, aNow, aActions); },
                [&](const peer_message_received& aMessage) { HandlePeer(aMessage, aNow, aActions); },
-               [&](const timer_ticked&) { Tick(aNow.mMonotonic, aActions); },
+               [&](const timer_ticked&) { Tick(aNow, aActions); },
                [&](const batch_stored& aStored) {
                  mReplica.TakeStored(aStored, aNow.mMonotonic, aActions);
                  if (aStored.mIsFailed) {
@@ -53,20 +54,53 @@
   FollowGroup();
 }
 
-void control_node::Tick(instant aNow, node_actions& aActions)
+void control_node::Tick(present_time aNow, node_actions& aActions)
 {
-  mFleet.Expire(aNow);
-  mReplica.Tick(aNow, aActions);
-  if (aNow < mNextReportAt) {
+  const instant now = aNow.mMonotonic;
+  mFleet.Expire(now);
+  mReplica.Tick(now, aActions);
+  ShiftTraffic(aNow, aActions);
+  if (now < mNextReportAt) {
     return;
   }
-  mNextReportAt = aNow + kReportInterval;
-  const fleet_report report = mFleet.MakeReport(aNow);
+  mNextReportAt = now + kReportInterval;
+  const fleet_report report = mFleet.MakeReport(now);
   for (const vm_name& vm : mOtherControlVms) {
     aActions.emplace_back(send_peer_message{ vm, report });
   }
 }
 
+void control_node::ShiftTraffic(present_time aNow, node_actions& aActions)
+{
+  const consensus_group& group = mReplica.GetGroup();
+  if (!group.IsConfirmedLeader(aNow.mMonotonic) || !mCatalogue) {
+    mShifts.reset();
+    return;
+  }
+  if (!mShifts || mShiftTerm != group.GetTerm()) {
+    mShifts.emplace();
+    mShiftTerm = group.GetTerm();
+    mIsPlanProposed = false;
+  }
+  if (aNow.mMonotonic < mNextShiftAt || mIsPlanProposed) {
+    return;
+  }
+  mNextShiftAt = aNow.mMonotonic + kShiftInterval;
+  const std::vector<zone_summary> zones = mFleet.SummariseZones(aNow.mMonotonic);
+  shift_outcome outcome =
+    mShifts->Advance({ *mCatalogue, zones, {}, mReplica.GetState().GetPlan() }, aNow.mMonotonic);
+  if (!outcome.mIsChanged) {
+    return;
+  }
+  // A second proposal before the first is decided could exceed the cap.
+  mIsPlanProposed = true;
+  mReplica.Propose(
+    set_steering_plan{ std::move(outcome.mPlan) },
+    aNow,
+    [this](const apply_result*, node_actions&) { mIsPlanProposed = false; },
+    aActions);
+}
+
 void control_node::FollowGroup()
 {
   UpdateCatalogue();
--- a/src/citronpulley/node/control_node.h
+++ b/src/citronpulley/node/control_node.h
@@ -9,6 +9,7 @@
 #include "citronpulley/node/node_actions.h"
 #include "citronpulley/node/node_events.h"
 #include "citronpulley/node/operator_api.h"
+#include "citronpulley/routing/shift_controller.h"
 
 #include <cstdint>
 #include <optional>
@@ -89,8 +90,9 @@
                     instant aNow,
                     node_actions& aActions);
   void HandlePoll(const vm_name& aSender, const poll& aPoll, instant aNow, node_actions& aActions);
-  void Tick(instant aNow, node_actions& aActions);
+  void Tick(present_time aNow, node_actions& aActions);
   void FollowGroup();
+  void ShiftTraffic(present_time aNow, node_actions& aActions);
   void AnswerPoll(const vm_name& aSender, const poll& aPoll, instant aNow, node_actions& aActions);
   void UpdateCatalogue();
 
@@ -103,6 +105,11 @@
   std::uint64_t mCatalogueVersion = 0;
   fleet_table mFleet;
   grant_authority mGrants;
+  /** Controller of this VM's present leadership; none while another VM leads. */
+  std::optional<shift_controller> mShifts;
+  term_number mShiftTerm = 0;
+  bool mIsPlanProposed = false;
+  instant mNextShiftAt;
   instant mPresent;
   instant mNextReportAt;
 };
