--- a/src/citronpulley/runtime/report_sink.cpp
+++ b/src/citronpulley/runtime/report_sink.cpp
@@ -39,7 +39,6 @@
 constexpr std::size_t kInboxCapacity = 16'384;
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr std::uint64_t kRefusalsPerLogLine = 1'000;
-constexpr std::uint64_t kMaxSpansPerSecond = 200;
 
 /** Latencies of one label. */
 struct latency_series
@@ -129,10 +128,6 @@
       }
       mRefusedInsideRate += aRecord.mIsRefusedInsideRate ? 1 : 0;
     }
-    if (!MayWriteSpan(aRecord.mEndedAt)) {
-      ++mSkippedSpans;
-      return;
-    }
     // The fields follow the JSON form of OpenTelemetry spans.
     const boost::json::object span{ { "traceId", aRecord.mTraceId },
                                     { "spanId", aRecord.mSpanId },
@@ -156,16 +151,6 @@
       aGauge.mValue;
   }
 
-  /** Bounds the spans of a second, since writing each one costs more than serving a request. */
-  bool MayWriteSpan(instant aNow)
-  {
-    if (aNow >= mSpanSecondEndsAt) {
-      mSpanSecondEndsAt = aNow + std::chrono::seconds(1);
-      mSpansThisSecond = 0;
-    }
-    return ++mSpansThisSecond <= kMaxSpansPerSecond;
-  }
-
   static void RenderLatency(std::ostream& aText,
                             const std::string& aName,
                             const std::string& aLabels,
@@ -209,7 +194,6 @@
     for (const auto& [code, count] : mRefusedFrames) {
       text << "citronpulley_refused_frames_total{code=\"" << code << "\"} " << count << "\n";
     }
-    text << "citronpulley_skipped_spans_total " << mSkippedSpans << "\n";
     text << "citronpulley_dropped_reports_total " << mDropped.load() << "\n";
     return text.str();
   }
@@ -222,9 +206,6 @@
   std::map<std::string, double> mGauges;
   std::map<std::string, std::uint64_t> mRefusedFrames;
   std::uint64_t mRefusedInsideRate = 0;
-  std::uint64_t mSkippedSpans = 0;
-  std::uint64_t mSpansThisSecond = 0;
-  instant mSpanSecondEndsAt;
   std::atomic<std::uint64_t> mDropped{ 0 };
   duty_thread mThread;
   duty_inbox<report> mInbox;
