--- /dev/null
+++ b/bench/capacity_bench.cpp
@@ -0,0 +1,213 @@
+/**
+ * @file
+ * Measures the slopes that docs/CAPACITY.md uses: cost and bytes of a poll against the number of
+ * entry VMs, cost of a delta against the number of missed changes, bytes of a claim, and the
+ * failure detector against the size of its group. Prints JSON lines.
+ */
+
+#include "citronpulley/membership/failure_detector.h"
+#include "citronpulley/membership/fleet_table.h"
+#include "citronpulley/state/control_state.h"
+#include "citronpulley/state/state_view.h"
+#include "citronpulley/wire/peer_message.h"
+
+#include <boost/json.hpp>
+
+#include <chrono>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <memory>
+
+using namespace citronpulley;
+
+namespace {
+
+constexpr int kZones = 22;
+constexpr int kServices = 6;
+
+double TimeMicroseconds(int aRounds, auto&& aWork)
+{
+  const auto startedAt = std::chrono::steady_clock::now();
+  for (int round = 0; round < aRounds; ++round) {
+    aWork();
+  }
+  const std::chrono::duration<double, std::micro> time =
+    std::chrono::steady_clock::now() - startedAt;
+  return time.count() / aRounds;
+}
+
+void Print(const boost::json::object& aRow)
+{
+  std::cout << boost::json::serialize(aRow) << "\n";
+}
+
+poll MakePoll(int aNumber)
+{
+  poll message;
+  vm_record& vm = message.mSender;
+  vm.mZone = zone_name("zone-" + std::to_string(aNumber % kZones));
+  vm.mRegion = region_name("region-" + std::to_string(aNumber % kZones / 3));
+  vm.mVm = vm_name(vm.mZone.mValue + "-" + std::to_string(aNumber));
+  vm.mAddress = "10.0." + std::to_string(aNumber / 256) + "." + std::to_string(aNumber % 256);
+  for (int service = 0; service < kServices; ++service) {
+    message.mHomedServers.push_back(
+      { vm.mZone, service_name("service-" + std::to_string(service)), 1, 6, 3 });
+  }
+  return message;
+}
+
+void MeasurePolls(int aVms)
+{
+  fleet_table table;
+  const instant now;
+  for (int number = 0; number < aVms; ++number) {
+    table.TakePoll(MakePoll(number), now);
+  }
+  poll_reply first;
+  first.mLiveVms = table.ListVmsFor(MakePoll(0).mSender, now);
+  first.mZones = table.SummariseZones(now);
+  poll_reply steady = first;
+  steady.mLiveVms.clear();
+  int number = 0;
+  const double answer = TimeMicroseconds(50, [&] {
+    const poll message = MakePoll(number++ % aVms);
+    table.TakePoll(message, now);
+    poll_reply reply;
+    reply.mLiveVms = table.ListVmsFor(message.mSender, now);
+    const bool isKnown = ComputeDigest(reply.mLiveVms) == message.mKnownVms;
+    reply.mZones = table.SummariseZones(now);
+    EncodeMessage(reply);
+    return isKnown;
+  });
+  Print({ { "measure", "poll" },
+          { "entry_vms", aVms },
+          { "poll_bytes", EncodeMessage(MakePoll(0)).size() },
+          { "first_reply_bytes", EncodeMessage(first).size() },
+          { "steady_reply_bytes", EncodeMessage(steady).size() },
+          { "answer_us", answer } });
+}
+
+void MeasureDeltas(int aMissed)
+{
+  control_state state;
+  state_index index = 0;
+  const auto give = [&](int aNumber) {
+    give_key change;
+    change.mKey = key_id("key-" + std::to_string(aNumber));
+    change.mWorkspace = workspace_name("workspace-" + std::to_string(aNumber % 8));
+    state.Apply(++index, { 0, change });
+  };
+  for (int number = 0; number < 20'000; ++number) {
+    give(number);
+  }
+  const state_index before = index;
+  for (int number = 0; number < aMissed; ++number) {
+    give(20'000 + number);
+  }
+  const std::string bytes = EncodeDelta(state.MakeDelta(before));
+  const double encode = TimeMicroseconds(20, [&] { EncodeDelta(state.MakeDelta(before)); });
+  Print({ { "measure", "delta" },
+          { "missed_changes", aMissed },
+          { "bytes", bytes.size() },
+          { "encode_us", encode } });
+}
+
+void MeasureClaims(int aClaims)
+{
+  control_state state;
+  constexpr std::int64_t kNow = 1'700'000'000'000;
+  claim_request request;
+  request.mKey.mWorkspace = workspace_name("workspace");
+  char text[40];
+  const double apply = TimeMicroseconds(aClaims, [&, number = 0]() mutable {
+    std::snprintf(text,
+                  sizeof text,
+                  "%08llx-%04llx-7000-8000-%012d",
+                  static_cast<unsigned long long>(kNow >> 16),
+                  static_cast<unsigned long long>(kNow & 0xffff),
+                  ++number);
+    request.mKey.mIdempotencyKey = text;
+    state.Apply(state.GetIndex() + 1, { kNow, request });
+  });
+  std::string bytes;
+  const double encode = TimeMicroseconds(1, [&] { bytes = state.Encode(); });
+  Print({ { "measure", "claims" },
+          { "claims", aClaims },
+          { "apply_us", apply },
+          { "snapshot_bytes", bytes.size() },
+          { "snapshot_us", encode } });
+}
+
+void MeasureDetector(int aMembers)
+{
+  std::vector<vm_name> names;
+  for (int number = 0; number < aMembers; ++number) {
+    names.emplace_back("vm-" + std::to_string(number));
+  }
+  std::map<vm_name, std::unique_ptr<failure_detector>> detectors;
+  for (const vm_name& name : names) {
+    detectors.emplace(name, std::make_unique<failure_detector>(name, 1, detectors.size()));
+    detectors.at(name)->SetMembers(names);
+  }
+  constexpr int kSeconds = 6;
+  constexpr microseconds kStep{ 20'000 };
+  std::size_t sent = 0;
+  std::size_t bytes = 0;
+  std::deque<std::pair<vm_name, detector_message>> queue;
+  const auto enqueue = [&](const vm_name& aSender, const std::vector<detector_message>& aMessages) {
+    for (const detector_message& message : aMessages) {
+      ++sent;
+      std::visit([&](const auto& aContent) { bytes += EncodeMessage(aContent).size(); },
+                 message.mMessage);
+      queue.emplace_back(aSender, message);
+    }
+  };
+  instant now;
+  const double time = TimeMicroseconds(1, [&] {
+    for (const instant end = now + std::chrono::seconds(kSeconds); now < end; now += kStep) {
+      std::deque<std::pair<vm_name, detector_message>> arriving;
+      arriving.swap(queue);
+      for (const auto& [sender, message] : arriving) {
+        failure_detector& receiver = *detectors.at(message.mReceiver);
+        std::vector<detector_message> replies;
+        if (const auto* ping = std::get_if<swim_ping>(&message.mMessage)) {
+          receiver.Receive(sender, *ping, replies);
+        } else if (const auto* ack = std::get_if<swim_ack>(&message.mMessage)) {
+          receiver.Receive(sender, *ack, replies);
+        }
+        enqueue(message.mReceiver, replies);
+      }
+      for (auto& [name, detector] : detectors) {
+        std::vector<detector_message> messages;
+        detector->Tick(now, messages);
+        enqueue(name, messages);
+      }
+    }
+  });
+  const double memberSeconds = static_cast<double>(aMembers) * kSeconds;
+  Print({ { "measure", "detector" },
+          { "members", aMembers },
+          { "messages_per_member_second", static_cast<double>(sent) / memberSeconds },
+          { "bytes_per_member_second", static_cast<double>(bytes) / memberSeconds },
+          { "cpu_us_per_member_second", time / memberSeconds } });
+}
+
+} // namespace
+
+int main()
+{
+  for (const int vms : { 24, 100, 400, 1'000, 2'600 }) {
+    MeasurePolls(vms);
+  }
+  for (const int missed : { 1, 100, 1'000, 10'000 }) {
+    MeasureDeltas(missed);
+  }
+  for (const int claims : { 1'000, 10'000, 100'000, 400'000 }) {
+    MeasureClaims(claims);
+  }
+  for (const int members : { 24, 100, 400, 800 }) {
+    MeasureDetector(members);
+  }
+  return 0;
+}
