--- a/src/citronpulley/replay/virtual_hosts.cpp
+++ b/src/citronpulley/replay/virtual_hosts.cpp
@@ -279,6 +279,8 @@
                 event = peer_message_received{ mHosts[aHost].mRecord.mVm,
                                                std::move(aSend.mMessage) }]() mutable {
                  if (mHosts[receiver].mRun == run) {
+                   // The hello that begins a session carries the sender's address.
+                   mHosts[receiver].mKnownPeers.insert(event.mSender);
                    Give(receiver, std::move(event));
                  }
                });
