Reserve a vector whose size is known in the capacity benchmark

Ruled out: other files; no other finding came up to then. Change: one reserve(). Conclusion: mended.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -142,6 +142,7 @@
 void MeasureDetector(int aMembers)
 {
   std::vector<vm_name> names;
+  names.reserve(static_cast<std::size_t>(aMembers));
   for (int number = 0; number < aMembers; ++number) {
     names.emplace_back("vm-" + std::to_string(number));
   }
