--- a/src/citronpulley/consensus/consensus_group.h
+++ b/src/citronpulley/consensus/consensus_group.h
@@ -65,6 +65,12 @@
   microseconds mElectionTimeout{ 500'000 };
   std::size_t mMaxEntriesPerMessage = 256;
   std::size_t mSnapshotChunkBytes = 256UL * 1024;
+  /** Most voters; further members stay learners until a voter is lost. 0 without a limit. */
+  std::size_t mMaxVoters = 0;
+  /** Admits VMs that `mControlVms` does not list; for deployments that no list describes. */
+  bool mAdmitsUnlisted = false;
+  /** Silence after which a member counts as lost for good; without it nobody is removed. */
+  std::optional<microseconds> mRemoveAfter;
 };
 
 /** Place of a proposal in the log; it is decided when the entry there is applied. */
@@ -129,6 +135,9 @@
   /** Replaces the log up to the last applied entry by a snapshot of the applied state. */
   void Compact(std::string aState, group_actions& aActions);
 
+  /** Replaces the VMs that are asked for admission. */
+  void SetControlVms(std::vector<vm_name> aControlVms) { mSettings.mControlVms = aControlVms; }
+
   bool IsLeader() const noexcept { return mRole == role::Leader; }
 
   /** @return true while a majority confirmed a recent round and the term's first entry committed */
@@ -276,6 +285,8 @@
                          instant aNow,
                          group_actions& aActions);
   void RepairMembership(instant aNow, group_actions& aActions);
+  const group_member* FindLostMember(bool aIsLearner, instant aNow) const;
+  std::size_t GetVoterLimit() const noexcept;
   void AskToJoin(instant aNow, group_actions& aActions);
   void Take(const join_request& aRequest, instant aNow, group_actions& aActions);
   group_settings mSettings;
--- a/src/citronpulley/consensus/group_reads.cpp
+++ b/src/citronpulley/consensus/group_reads.cpp
@@ -169,6 +169,13 @@
     }
     group_membership changed = GetMembership();
     const group_member* former = changed.FindVoterOn(member.mVm);
+    const bool hasPlace = changed.CountVoters() < GetVoterLimit();
+    if (former == nullptr && !hasPlace) {
+      former = FindLostMember(false, aNow);
+      if (former == nullptr) {
+        continue;
+      }
+    }
     if (former != nullptr) {
       // The lost identity leaves first: one change at a time keeps all majorities overlapping.
       std::erase(changed.mMembers, group_member(*former));
@@ -179,6 +186,36 @@
     ProposeMembership(changed, aNow, aActions);
     return;
   }
+  if (const group_member* lost = FindLostMember(true, aNow)) {
+    group_membership changed = GetMembership();
+    std::erase(changed.mMembers, group_member(*lost));
+    ProposeMembership(changed, aNow, aActions);
+  }
+}
+
+const group_member* consensus_group::FindLostMember(bool aIsLearner, instant aNow) const
+{
+  if (!mSettings.mRemoveAfter) {
+    return nullptr;
+  }
+  for (const group_member& member : GetMembership().mMembers) {
+    const auto found = mProgress.find(member.mMember);
+    if (member.mIsLearner == aIsLearner && member.mMember != mSelf && found != mProgress.end() &&
+        found->second.mHeardAt + *mSettings.mRemoveAfter <= aNow) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+std::size_t consensus_group::GetVoterLimit() const noexcept
+{
+  const std::size_t members = GetMembership().mMembers.size();
+  if (mSettings.mMaxVoters == 0) {
+    return members;
+  }
+  // An even number of voters tolerates no more losses than the odd number below it.
+  return std::min(mSettings.mMaxVoters, members % 2 == 0 ? members - 1 : members);
 }
 
 void consensus_group::AskToJoin(instant aNow, group_actions& aActions)
@@ -200,7 +237,8 @@
 {
   const bool isAllowed =
     aRequest.mVm == mSender && aRequest.mVm != mSettings.mSelf &&
-    std::ranges::find(mSettings.mControlVms, aRequest.mVm) != mSettings.mControlVms.end();
+    (mSettings.mAdmitsUnlisted ||
+     std::ranges::find(mSettings.mControlVms, aRequest.mVm) != mSettings.mControlVms.end());
   if (!isAllowed || !MayChangeMembership() || GetMembership().Find(aRequest.mMember) != nullptr) {
     return;
   }
--- /dev/null
+++ b/src/citronpulley/fleet/backend_registry.cpp
@@ -0,0 +1,176 @@
+#include "citronpulley/fleet/backend_registry.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace citronpulley {
+
+namespace {
+
+/** Announcements shorten the remaining warm-up each time; only a real change counts as news. */
+constexpr microseconds kWarmupTolerance{ 500'000 };
+
+bool IsSameButTime(const backend_record& aLeft, const backend_record& aRight)
+{
+  return std::tie(aLeft.mService,
+                  aLeft.mAddress,
+                  aLeft.mZone,
+                  aLeft.mSlots,
+                  aLeft.mIsLeaving,
+                  aLeft.mStartedAtMs) == std::tie(aRight.mService,
+                                                  aRight.mAddress,
+                                                  aRight.mZone,
+                                                  aRight.mSlots,
+                                                  aRight.mIsLeaving,
+                                                  aRight.mStartedAtMs);
+}
+
+} // namespace
+
+bool backend_registry::Take(const backend_record& aRecord, instant aNow)
+{
+  const auto known = mEntries.find(aRecord.mId);
+  if (known != mEntries.end()) {
+    const backend_record& held = known->second.mRecord;
+    if (std::pair(aRecord.mStartedAtMs, aRecord.mSequence) <=
+        std::pair(held.mStartedAtMs, held.mSequence)) {
+      return false;
+    }
+  }
+  if (IsReplacedAt(aRecord)) {
+    return false;
+  }
+  const instant coldUntil = aNow + microseconds(aRecord.mWarmupLeftMs * 1'000);
+  const bool isNews =
+    known == mEntries.end() || !IsSameButTime(known->second.mRecord, aRecord) ||
+    (coldUntil > aNow || known->second.mColdUntil > aNow
+       ? std::chrono::abs(coldUntil - known->second.mColdUntil) > kWarmupTolerance
+       : false);
+  entry& entry = mEntries[aRecord.mId];
+  entry.mRecord = aRecord;
+  entry.mHeardAt = aNow;
+  mByAddress[aRecord.mAddress] = aRecord.mId;
+  if (isNews) {
+    entry.mColdUntil = coldUntil;
+    entry.mRevision = ++mRevision;
+  }
+  return isNews;
+}
+
+bool backend_registry::IsReplacedAt(const backend_record& aRecord)
+{
+  const auto place = mByAddress.find(aRecord.mAddress);
+  if (place == mByAddress.end() || place->second == aRecord.mId) {
+    return false;
+  }
+  const auto other = mEntries.find(place->second);
+  if (other == mEntries.end() || other->second.mRecord.mAddress != aRecord.mAddress) {
+    return false;
+  }
+  if (other->second.mRecord.mStartedAtMs > aRecord.mStartedAtMs) {
+    return true;
+  }
+  Drop(std::string(place->second));
+  return false;
+}
+
+void backend_registry::Drop(const std::string& aBackend)
+{
+  const auto found = mEntries.find(aBackend);
+  if (found == mEntries.end()) {
+    return;
+  }
+  const auto place = mByAddress.find(found->second.mRecord.mAddress);
+  if (place != mByAddress.end() && place->second == aBackend) {
+    mByAddress.erase(place);
+  }
+  mEntries.erase(found);
+  mRemovals.emplace_back(++mRevision, aBackend);
+  if (mRemovals.size() > kMaxRemovals) {
+    mOldestRemoval = mRemovals.front().first;
+    mRemovals.pop_front();
+  }
+}
+
+void backend_registry::Remove(const std::string& aBackend, std::int64_t aStartedAtMs)
+{
+  const auto found = mEntries.find(aBackend);
+  if (found != mEntries.end() && found->second.mRecord.mStartedAtMs <= aStartedAtMs) {
+    Drop(aBackend);
+  }
+}
+
+void backend_registry::Expire(instant aNow)
+{
+  std::vector<std::string> silent;
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.mHeardAt + kForgetAfter <= aNow) {
+      silent.push_back(id);
+    }
+  }
+  for (const std::string& id : silent) {
+    Drop(id);
+  }
+}
+
+backend_record backend_registry::Present(const entry& aEntry, instant aNow)
+{
+  backend_record record = aEntry.mRecord;
+  record.mWarmupLeftMs =
+    std::max<std::int64_t>(0, (aEntry.mColdUntil - aNow + microseconds(999)).count() / 1'000);
+  return record;
+}
+
+void backend_registry::WriteNews(std::uint64_t aEpoch,
+                                 std::uint64_t aRevision,
+                                 instant aNow,
+                                 entry_update& aUpdate) const
+{
+  const bool isWhole = aEpoch != mEpoch || aRevision < mOldestRemoval || aRevision > mRevision;
+  aUpdate.mListEpoch = mEpoch;
+  aUpdate.mListRevision = mRevision;
+  aUpdate.mIsWholeList = isWhole;
+  for (const auto& [id, entry] : mEntries) {
+    if (isWhole || entry.mRevision > aRevision) {
+      aUpdate.mBackends.push_back(Present(entry, aNow));
+    }
+  }
+  if (isWhole) {
+    return;
+  }
+  for (const auto& [revision, id] : mRemovals) {
+    if (revision > aRevision && !mEntries.contains(id)) {
+      aUpdate.mRemoved.push_back(id);
+    }
+  }
+}
+
+std::vector<backend_record> backend_registry::ListHeardSince(instant aSince, instant aNow) const
+{
+  std::vector<backend_record> list;
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.mHeardAt >= aSince) {
+      list.push_back(Present(entry, aNow));
+    }
+  }
+  return list;
+}
+
+std::int64_t backend_registry::GetStart(const std::string& aBackend) const
+{
+  const auto found = mEntries.find(aBackend);
+  return found == mEntries.end() ? 0 : found->second.mRecord.mStartedAtMs;
+}
+
+std::vector<const backend_record*> backend_registry::ListCold(instant aNow) const
+{
+  std::vector<const backend_record*> list;
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.mColdUntil > aNow) {
+      list.push_back(&entry.mRecord);
+    }
+  }
+  return list;
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -0,0 +1,269 @@
+#include "citronpulley/fleet/entry_steering.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronpulley {
+
+namespace {
+
+/** Time for which a caller without a deadline is kept waiting when the route states none either. */
+constexpr microseconds kDefaultPatience{ 30'000'000 };
+/** Crashes that are kept for the next report. */
+constexpr std::size_t kMaxCrashNotices = 200;
+
+} // namespace
+
+std::string_view ToString(refusal_reason aReason) noexcept
+{
+  switch (aReason) {
+    case refusal_reason::NoConfig:
+      return "no_config";
+    case refusal_reason::UnknownRoute:
+      return "unknown_route";
+    case refusal_reason::UnknownKey:
+      return "unknown_key";
+    case refusal_reason::NotFresh:
+      return "not_fresh";
+    case refusal_reason::RateExceeded:
+      return "rate_exceeded";
+    case refusal_reason::Quarantined:
+      return "quarantined";
+    case refusal_reason::NoBackend:
+      return "no_backend_server";
+    case refusal_reason::Overloaded:
+      return "overloaded";
+    case refusal_reason::NoTime:
+      return "no_time";
+    case refusal_reason::Stopping:
+      return "stopping";
+    case refusal_reason::OutcomeUnknown:
+      return "outcome_unknown";
+    case refusal_reason::TimedOut:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
+entry_steering::entry_steering(entry_steering_settings aSettings,
+                               std::function<result<traffic_config>(std::string_view)> aReader)
+  : mSettings(std::move(aSettings))
+  , mReader(std::move(aReader))
+  , mPool(mSettings.mPlace.mZone, mSettings.mRegions)
+  , mRetries(mSettings.mRetriesPerRequest, mSettings.mRetryReserve)
+{
+}
+
+entry_report entry_steering::MakeReport(bool aIsAccepting, instant aNow)
+{
+  entry_report report;
+  report.mPlace = mSettings.mPlace;
+  report.mIsAccepting = aIsAccepting && mConfig != nullptr;
+  report.mNumber = ++mNumber;
+  report.mConfig = mConfig ? mConfig->GetConfig().mVersion : 0;
+  report.mListEpoch = mListEpoch;
+  report.mListRevision = mListRevision;
+  for (const auto& [name, rate] : mMeter.ListDemands(aNow)) {
+    report.mDemands.push_back({ name, rate });
+  }
+  report.mCrashes = std::exchange(mCrashes, {});
+  return report;
+}
+
+bool entry_steering::Take(const entry_update& aUpdate, instant aSentAt, instant aNow)
+{
+  if (!aUpdate.mIsConfirmed || aUpdate.mNumber != mNumber) {
+    return false;
+  }
+  bool isNewConfig = false;
+  const config_version held = mConfig ? mConfig->GetConfig().mVersion : 0;
+  if (aUpdate.mConfig < held) {
+    // A confirmed leader never holds less than it confirmed before.
+    return false;
+  }
+  if (aUpdate.mConfig > held) {
+    result<traffic_config> config = mReader(aUpdate.mConfigText);
+    if (!config) {
+      return false;
+    }
+    mConfig = std::make_shared<const route_index>(std::move(config.Get()));
+    isNewConfig = true;
+  }
+  mFreshUntil = std::max(mFreshUntil,
+                         aSentAt - microseconds(aUpdate.mProofAge) + mSettings.mLease);
+  mPool.SetEvacuatedZones({ aUpdate.mEvacuatedZones.begin(), aUpdate.mEvacuatedZones.end() }, aNow);
+  TakeBackends(aUpdate, aNow);
+  for (const workspace_share& share : aUpdate.mShares) {
+    mMeter.SetShare(share.mWorkspace, share.mRate, share.mBurst, aNow);
+  }
+  std::map<std::string, double> rates;
+  for (const warmup_permit& permit : aUpdate.mPermits) {
+    rates.emplace(permit.mBackend, permit.mRate);
+  }
+  mPool.SetWarmupRates(std::move(rates));
+  mQuarantined = { aUpdate.mQuarantined.begin(), aUpdate.mQuarantined.end() };
+  return isNewConfig;
+}
+
+void entry_steering::TakeBackends(const entry_update& aUpdate, instant aNow)
+{
+  std::set<std::string> named;
+  for (const backend_record& record : aUpdate.mBackends) {
+    mPool.Update(record, aNow);
+    named.insert(record.mId);
+  }
+  if (aUpdate.mIsWholeList) {
+    // A leader that has just begun may not have heard of all backend servers yet, so that a short
+    // list removes nobody; the next removals name them.
+    if (named.size() * 2 > mPool.GetCount()) {
+      mPool.KeepOnly(named);
+    }
+  }
+  for (const std::string& id : aUpdate.mRemoved) {
+    mPool.Remove(id);
+  }
+  mListEpoch = aUpdate.mListEpoch;
+  mListRevision = aUpdate.mListRevision;
+}
+
+const service_name& entry_steering::PickService(const route_rule& aRoute)
+{
+  if (aRoute.mServices.size() == 1) {
+    return aRoute.mServices.front().mService;
+  }
+  double sum = 0;
+  std::map<service_name, double>& credits = mWeightCredits[aRoute.mName];
+  const weighted_service* best = nullptr;
+  for (const weighted_service& part : aRoute.mServices) {
+    sum += part.mWeight;
+    double& credit = credits[part.mService];
+    credit += part.mWeight;
+    if (part.mWeight > 0 && (best == nullptr || credit > credits[best->mService])) {
+      best = &part;
+    }
+  }
+  credits[best->mService] -= sum;
+  return best->mService;
+}
+
+std::variant<admission_ticket, refusal> entry_steering::Admit(const request_facts& aFacts,
+                                                              instant aNow)
+{
+  if (!mConfig) {
+    return refusal{ refusal_reason::NoConfig };
+  }
+  const route_rule* route = mConfig->FindRoute(aFacts.mHost, aFacts.mPath);
+  if (route == nullptr) {
+    return refusal{ refusal_reason::UnknownRoute };
+  }
+  admission_ticket ticket;
+  ticket.mConfig = mConfig;
+  ticket.mRoute = route;
+  ticket.mPriority = route->mPriority;
+  ticket.mDeadline = aNow + aFacts.mPatience.value_or(kDefaultPatience);
+  if (route->mTimeout) {
+    ticket.mDeadline = std::min(ticket.mDeadline, aNow + *route->mTimeout);
+  }
+  const workspace_rule* workspace =
+    aFacts.mKey != nullptr ? mConfig->FindWorkspace(*aFacts.mKey) : nullptr;
+  const bool needsKey = !route->mIsOpen && !mConfig->GetConfig().mWorkspaces.empty();
+  if (needsKey) {
+    if (aNow >= mFreshUntil) {
+      return refusal{ refusal_reason::NotFresh };
+    }
+    if (workspace == nullptr) {
+      return refusal{ refusal_reason::UnknownKey };
+    }
+  }
+  if (workspace != nullptr && aNow < mFreshUntil) {
+    ticket.mWorkspace = workspace->mName;
+    ticket.mPriority = workspace->mPriority.value_or(route->mPriority);
+    ticket.mPlacement.mWorkspaceRegions = workspace->mAllowedRegions;
+  }
+  if (!mQuarantined.empty() && mQuarantined.contains(aFacts.mFingerprint(ticket.mWorkspace))) {
+    return refusal{ refusal_reason::Quarantined };
+  }
+  if (workspace != nullptr && workspace->mRate > 0 && !ticket.mWorkspace.IsEmpty()) {
+    if (!mMeter.TryTake(workspace->mName, aNow)) {
+      return refusal{ refusal_reason::RateExceeded };
+    }
+    ticket.mIsMetered = true;
+  }
+  ticket.mPlacement.mService = PickService(*route);
+  ticket.mPlacement.mRouteRegions = route->mAllowedRegions;
+  ticket.mPlacement.mIsIdempotent = route->mIsIdempotent;
+  if (aFacts.mAffinityKey != nullptr) {
+    ticket.mPlacement.mAffinityKey = *aFacts.mAffinityKey;
+  }
+  mRetries.CountRequest(ticket.mPlacement.mService);
+  return ticket;
+}
+
+std::variant<placement, refusal> entry_steering::Place(admission_ticket& aTicket, instant aNow)
+{
+  const auto refuse = [&](refusal_reason aReason) {
+    if (aTicket.mIsMetered && aTicket.mAttempts == 0) {
+      mMeter.GiveBack(aTicket.mWorkspace);
+      aTicket.mIsMetered = false;
+    }
+    return refusal{ aReason };
+  };
+  if (aNow >= aTicket.mDeadline) {
+    return refuse(refusal_reason::NoTime);
+  }
+  std::optional<placement> place = mPool.Choose(aTicket.mPlacement, aNow);
+  if (!place) {
+    return refuse(refusal_reason::NoBackend);
+  }
+  if (place->mExpectedWait >= aTicket.mDeadline - aNow) {
+    return refuse(refusal_reason::Overloaded);
+  }
+  return *place;
+}
+
+void entry_steering::NoteSent(const placement& aPlacement, instant aNow)
+{
+  mPool.NoteSent(aPlacement.mBackend, aNow);
+}
+
+next_step entry_steering::NoteEnd(admission_ticket& aTicket,
+                                  const placement& aPlacement,
+                                  attempt_outcome aOutcome,
+                                  const std::optional<load_report>& aLoad,
+                                  microseconds aTook,
+                                  instant aNow)
+{
+  mPool.NoteEnd(aPlacement.mBackend, aOutcome, aLoad, aTook, aNow);
+  if (aOutcome == attempt_outcome::Answered) {
+    return next_step::PassOn;
+  }
+  if (aOutcome == attempt_outcome::Abandoned || aOutcome == attempt_outcome::TimedOut) {
+    return next_step::Fail;
+  }
+  const bool hasNotRun = aOutcome == attempt_outcome::NotSent ||
+                         aOutcome == attempt_outcome::NotExecuted ||
+                         aOutcome == attempt_outcome::WrongInstance;
+  aTicket.mMayHaveRun = aTicket.mMayHaveRun || !hasNotRun;
+  aTicket.mPlacement.mExcluded.push_back(aPlacement.mBackend);
+  const bool isRepeatable = hasNotRun || aTicket.mPlacement.mIsIdempotent;
+  const bool hasAttempts = aOutcome == attempt_outcome::NotSent ||
+                           ++aTicket.mAttempts < std::max(1, aTicket.mRoute->mMaxAttempts);
+  const bool hasTime = aNow + aPlacement.mServiceTime / 2 < aTicket.mDeadline;
+  if (isRepeatable && hasAttempts && hasTime &&
+      (aOutcome == attempt_outcome::NotSent || mRetries.TrySpend(aTicket.mPlacement.mService))) {
+    return next_step::TryAgain;
+  }
+  if (aOutcome == attempt_outcome::Failed) {
+    return next_step::PassOn;
+  }
+  return aTicket.mMayHaveRun ? next_step::Fail : next_step::Refuse;
+}
+
+void entry_steering::NoteCrash(const digest& aFingerprint, const std::string& aBackend)
+{
+  if (mCrashes.size() < kMaxCrashNotices) {
+    mCrashes.push_back({ aFingerprint, aBackend });
+  }
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/fleet/fleet_control.cpp
@@ -0,0 +1,473 @@
+#include "citronpulley/fleet/fleet_control.h"
+
+#include "citronpulley/base/overloaded.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronpulley {
+
+namespace {
+
+/** Age up to which the records of a control VM are passed on to a new leader. */
+constexpr microseconds kPassOnAge{ 6'000'000 };
+/** Voters without which no change is accepted, if there are as many seeds. */
+constexpr std::size_t kMinVoters = 3;
+
+fleet_state RestoreState(const recovered_member& aRecovered)
+{
+  if (aRecovered.mSnapshot) {
+    result<fleet_state> state = fleet_state::Decode(aRecovered.mSnapshot->mState);
+    if (state) {
+      return std::move(state.Get());
+    }
+  }
+  return {};
+}
+
+group_settings MakeGroupSettings(const fleet_control_settings& aSettings)
+{
+  group_settings settings;
+  settings.mSelf = aSettings.mSelf;
+  settings.mControlVms = aSettings.mSeeds;
+  settings.mMaxVoters = fleet_control::kMaxVoters;
+  settings.mAdmitsUnlisted = true;
+  settings.mRemoveAfter = fleet_control::kRemoveAfter;
+  return settings;
+}
+
+} // namespace
+
+std::optional<storage_batch> FoundGroup(const fleet_control_settings& aSettings,
+                                        const recovered_member& aRecovered,
+                                        std::uint64_t aGroup)
+{
+  const bool isEmpty = !aRecovered.mSnapshot && aRecovered.mEntries.empty() &&
+                       aRecovered.mVote == vote_record{};
+  const auto first = std::ranges::min_element(aSettings.mSeeds);
+  if (!isEmpty || first == aSettings.mSeeds.end() || *first != aSettings.mSelf) {
+    return std::nullopt;
+  }
+  storage_batch batch;
+  batch.mEntries = { MakeFirstEntry(aGroup, aRecovered.mMember, aSettings.mSelf) };
+  return batch;
+}
+
+fleet_control::fleet_control(fleet_control_settings aSettings,
+                             config_reader aReader,
+                             recovered_member aRecovered,
+                             std::uint64_t aSeed,
+                             instant aNow)
+  : mSettings(std::move(aSettings))
+  , mReader(std::move(aReader))
+  , mState(RestoreState(aRecovered))
+  , mGroup(MakeGroupSettings(mSettings), std::move(aRecovered), aSeed, aNow)
+  , mEpoch(aSeed | 1U)
+  , mBackends(mEpoch)
+  , mEntries(mSettings.mLease)
+{
+  LearnControlVms(mSettings.mSeeds);
+  fleet_actions ignored;
+  RefreshConfig(ignored);
+}
+
+void fleet_control::Tick(instant aNow, fleet_actions& aActions)
+{
+  group_actions actions;
+  mGroup.Tick(aNow, actions);
+  Do(actions, aNow, aActions);
+  mBackends.Expire(aNow);
+  AskContacts(aNow, aActions);
+  ForwardAnnouncements(aNow, aActions);
+  SendDirectory(aNow, aActions);
+}
+
+void fleet_control::Receive(const fleet_message& aMessage,
+                            instant aNow,
+                            const std::function<void(fleet_message)>& aReply,
+                            fleet_actions& aActions)
+{
+  std::visit(overloaded{
+               [&](const contact_request&) { aReply(GetContacts()); },
+               [&](const contact_reply& aContacts) { LearnControlVms(aContacts.mControlVms); },
+               [&](const group_message& aOne) {
+                 group_actions actions;
+                 mGroup.Receive(aOne.mSender, aOne.mMessage, aNow, actions);
+                 Do(actions, aNow, aActions);
+               },
+               [&](const entry_report& aReport) {
+                 aReply(AnswerReport(aReport, aNow, aActions));
+               },
+               [](const entry_update&) {},
+               [&](const announcement_batch& aBatch) {
+                 for (const backend_record& record : aBatch.mAnnouncements) {
+                   Announce(record, aNow);
+                 }
+               },
+               [&](const directory_news& aNews) {
+                 LearnControlVms(aNews.mControlVms);
+                 mListedEntries = aNews.mEntries;
+               },
+             },
+             aMessage);
+}
+
+void fleet_control::TakeStored(std::uint64_t aNumber, instant aNow, fleet_actions& aActions)
+{
+  group_actions actions;
+  mGroup.TakeStored(aNumber, aNow, actions);
+  Do(actions, aNow, aActions);
+}
+
+void fleet_control::Submit(const fleet_command& aCommand,
+                           on_outcome aOnOutcome,
+                           instant aNow,
+                           fleet_actions& aActions)
+{
+  if (!MayAccept(aNow)) {
+    aOnOutcome(std::nullopt);
+    return;
+  }
+  group_actions actions;
+  const std::optional<proposal> place = mGroup.Propose(EncodeFleetCommand(aCommand), aNow, actions);
+  if (!place) {
+    aOnOutcome(std::nullopt);
+    return;
+  }
+  mPending.emplace(place->mIndex, pending_command{ place->mTerm, std::move(aOnOutcome) });
+  Do(actions, aNow, aActions);
+}
+
+void fleet_control::Read(on_read aOnRead, instant aNow, fleet_actions& aActions)
+{
+  if (!mGroup.IsLeader()) {
+    aOnRead(false);
+    return;
+  }
+  const std::uint64_t read = ++mLastRead;
+  mReads.emplace(read, std::move(aOnRead));
+  group_actions actions;
+  mGroup.RequestRead(read, aNow, actions);
+  Do(actions, aNow, aActions);
+}
+
+void fleet_control::Announce(const backend_record& aRecord, instant aNow)
+{
+  if (mState.HasLeft(aRecord.mId, aRecord.mStartedAtMs)) {
+    return;
+  }
+  if (mBackends.Take(aRecord, aNow) || !mGroup.IsLeader()) {
+    mToForward.push_back(aRecord);
+  }
+}
+
+bool fleet_control::MayAccept(instant aNow) const noexcept
+{
+  return mGroup.IsConfirmedLeader(aNow) &&
+         mGroup.GetMembership().CountVoters() >= std::min(kMinVoters, mSettings.mSeeds.size());
+}
+
+std::vector<entry_place> fleet_control::ListEntries(instant aNow) const
+{
+  return mGroup.IsLeader() ? mEntries.ListAccepting(aNow) : mListedEntries;
+}
+
+void fleet_control::Do(group_actions& aGroupActions, instant aNow, fleet_actions& aActions)
+{
+  for (group_action& action : aGroupActions) {
+    std::visit([&](auto& aOne) { DoOne(aOne, aNow, aActions); }, action);
+  }
+  NoteLeader(aNow, aActions);
+  CompactIfLong(aNow, aActions);
+}
+
+void fleet_control::DoOne(send_to_member& aSend, instant, fleet_actions& aActions)
+{
+  aActions.emplace_back(send_fleet_message{
+    std::move(aSend.mVm), group_message{ mSettings.mSelf, std::move(aSend.mMessage) } });
+}
+
+void fleet_control::DoOne(storage_batch& aBatch, instant, fleet_actions& aActions)
+{
+  aActions.emplace_back(std::move(aBatch));
+}
+
+void fleet_control::DoOne(apply_entry& aApply, instant, fleet_actions& aActions)
+{
+  const log_entry& entry = aApply.mEntry;
+  std::optional<fleet_outcome> outcome;
+  mBytesSinceSnapshot += entry.mPayload.size();
+  if (entry.mIsMembership) {
+    std::vector<vm_name> members;
+    for (const group_member& member : mGroup.GetMembership().mMembers) {
+      members.push_back(member.mVm);
+    }
+    LearnControlVms(members);
+  } else if (!entry.mPayload.empty()) {
+    const result<fleet_command> decoded = DecodeFleetCommand(entry.mPayload);
+    if (decoded) {
+      outcome = mState.Apply(entry.mIndex, decoded.Get());
+      NoteChange(decoded.Get(), *outcome, aActions);
+    } else {
+      aActions.emplace_back(fleet_event{ "command_unreadable",
+                                         { { "index", std::to_string(entry.mIndex) },
+                                           { "error", decoded.GetError().mMessage } } });
+    }
+  }
+  if (!outcome) {
+    mState.Skip(entry.mIndex);
+  }
+  auto own = mPending.extract(entry.mIndex);
+  if (!own.empty()) {
+    const bool isOwn = own.mapped().mTerm == entry.mTerm;
+    own.mapped().mOnOutcome(isOwn ? outcome : std::nullopt);
+  }
+}
+
+void fleet_control::DoOne(install_state& aInstall, instant, fleet_actions& aActions)
+{
+  result<fleet_state> state = fleet_state::Decode(aInstall.mSnapshot.mState);
+  if (!state) {
+    mGroup.TakeStorageFailure();
+    aActions.emplace_back(
+      fleet_event{ "snapshot_unreadable", { { "error", state.GetError().mMessage } } });
+    return;
+  }
+  mState = std::move(state.Get());
+  RefreshConfig(aActions);
+}
+
+void fleet_control::DoOne(read_ready& aReady, instant, fleet_actions&)
+{
+  FinishRead(aReady.mRead, true);
+}
+
+void fleet_control::DoOne(read_failed& aFailed, instant, fleet_actions&)
+{
+  FinishRead(aFailed.mRead, false);
+}
+
+void fleet_control::FinishRead(std::uint64_t aRead, bool aIsConfirmed)
+{
+  auto read = mReads.extract(aRead);
+  if (!read.empty()) {
+    read.mapped()(aIsConfirmed);
+  }
+}
+
+void fleet_control::CompactIfLong(instant aNow, fleet_actions& aActions)
+{
+  const bool isLong =
+    mGroup.CountEntries() > kSnapshotEntries || mBytesSinceSnapshot > kSnapshotBytes;
+  if (!isLong || mState.GetIndex() != mGroup.GetAppliedIndex()) {
+    return;
+  }
+  mBytesSinceSnapshot = 0;
+  group_actions actions;
+  mGroup.Compact(mState.Encode(), actions);
+  for (group_action& action : actions) {
+    std::visit([&](auto& aOne) { DoOne(aOne, aNow, aActions); }, action);
+  }
+}
+
+void fleet_control::NoteChange(const fleet_command& aCommand,
+                               fleet_outcome aOutcome,
+                               fleet_actions& aActions)
+{
+  const std::string index = std::to_string(mState.GetIndex());
+  const std::string outcome = aOutcome == fleet_outcome::Accepted   ? "accepted"
+                              : aOutcome == fleet_outcome::Conflict ? "conflict"
+                                                                    : "not_newer";
+  std::visit(overloaded{
+               [&](const put_config& aPut) {
+                 RefreshConfig(aActions);
+                 aActions.emplace_back(
+                   fleet_event{ "config",
+                                { { "version", std::to_string(aPut.mVersion) },
+                                  { "base", std::to_string(aPut.mBase) },
+                                  { "in_force", std::to_string(mState.GetVersion()) },
+                                  { "index", index },
+                                  { "outcome", outcome } } });
+               },
+               [&](const set_evacuation& aSet) {
+                 aActions.emplace_back(
+                   fleet_event{ aSet.mIsEvacuated ? "zone_evacuated" : "zone_taken_back",
+                                { { "zone", aSet.mZone.mValue }, { "index", index } } });
+               },
+               [&](const note_departure& aNote) {
+                 mBackends.Remove(aNote.mBackend, aNote.mStartedAtMs);
+                 aActions.emplace_back(
+                   fleet_event{ "backend_leaves",
+                                { { "backend", aNote.mBackend },
+                                  { "started_at_ms", std::to_string(aNote.mStartedAtMs) },
+                                  { "index", index } } });
+               },
+             },
+             aCommand);
+}
+
+void fleet_control::RefreshConfig(fleet_actions& aActions)
+{
+  if (mState.GetVersion() == 0 || mConfig.mVersion == mState.GetVersion()) {
+    return;
+  }
+  result<traffic_config> config = mReader(mState.GetText());
+  if (config) {
+    mConfig = std::move(config.Get());
+    return;
+  }
+  aActions.emplace_back(
+    fleet_event{ "config_unreadable", { { "error", config.GetError().mMessage } } });
+}
+
+void fleet_control::NoteLeader(instant aNow, fleet_actions& aActions)
+{
+  if (mGroup.GetLeaderVm() == mLastLeader) {
+    return;
+  }
+  mLastLeader = mGroup.GetLeaderVm();
+  aActions.emplace_back(fleet_event{ mLastLeader.IsEmpty() ? "leader_lost" : "leader",
+                                     { { "leader", mLastLeader.mValue },
+                                       { "term", std::to_string(mGroup.GetTerm()) } } });
+  if (!mGroup.IsLeader()) {
+    // What this VM proposed may or may not be decided by the next leader.
+    for (auto& [index, pending] : std::exchange(mPending, {})) {
+      pending.mOnOutcome(std::nullopt);
+    }
+    mToForward = mBackends.ListHeardSince(aNow - kPassOnAge, aNow);
+  }
+}
+
+void fleet_control::LearnControlVms(const std::vector<vm_name>& aVms)
+{
+  bool isChanged = false;
+  for (const vm_name& vm : aVms) {
+    if (std::ranges::find(mControlVms, vm) == mControlVms.end()) {
+      mControlVms.push_back(vm);
+      isChanged = true;
+    }
+  }
+  if (isChanged) {
+    mGroup.SetControlVms(mControlVms);
+  }
+}
+
+contact_reply fleet_control::GetContacts() const
+{
+  contact_reply contacts{ mGroup.GetLeaderVm(), {} };
+  for (const group_member& member : mGroup.GetMembership().mMembers) {
+    contacts.mControlVms.push_back(member.mVm);
+  }
+  return contacts;
+}
+
+void fleet_control::AskContacts(instant aNow, fleet_actions& aActions)
+{
+  if (!mGroup.GetLeaderVm().IsEmpty() || aNow < mNextContactAt) {
+    return;
+  }
+  mNextContactAt = aNow + kContactInterval;
+  for (const vm_name& vm : mControlVms) {
+    if (vm != mSettings.mSelf) {
+      aActions.emplace_back(send_fleet_message{ vm, contact_request{ mSettings.mSelf } });
+    }
+  }
+}
+
+void fleet_control::ForwardAnnouncements(instant aNow, fleet_actions& aActions)
+{
+  if (mGroup.IsLeader()) {
+    mToForward.clear();
+  }
+  if (mToForward.empty() || aNow < mNextForwardAt || mGroup.GetLeaderVm().IsEmpty()) {
+    return;
+  }
+  mNextForwardAt = aNow + kForwardInterval;
+  aActions.emplace_back(send_fleet_message{
+    mGroup.GetLeaderVm(), announcement_batch{ std::exchange(mToForward, {}) } });
+}
+
+void fleet_control::SendDirectory(instant aNow, fleet_actions& aActions)
+{
+  if (!mGroup.IsConfirmedLeader(aNow) || aNow < mNextDirectoryAt) {
+    return;
+  }
+  mNextDirectoryAt = aNow + kDirectoryInterval;
+  const directory_news news{ mSettings.mSelf,
+                             GetContacts().mControlVms,
+                             mEntries.ListAccepting(aNow) };
+  for (const group_member& member : mGroup.GetMembership().mMembers) {
+    if (member.mVm != mSettings.mSelf) {
+      aActions.emplace_back(send_fleet_message{ member.mVm, news });
+    }
+  }
+}
+
+void fleet_control::NoteCrashes(const entry_report& aReport, instant aNow, fleet_actions& aActions)
+{
+  for (const crash_notice& notice : aReport.mCrashes) {
+    crash_record& record = mCrashes[notice.mFingerprint];
+    record.mBackends.insert(notice.mBackend);
+    record.mLastAt = aNow;
+    if (record.mBackends.size() == kQuarantineCrashes) {
+      aActions.emplace_back(
+        fleet_event{ "request_quarantined",
+                     { { "fingerprint", ToHex(notice.mFingerprint) },
+                       { "crashes", std::to_string(record.mBackends.size()) } } });
+    }
+  }
+  std::erase_if(mCrashes, [aNow](const auto& aRecord) {
+    return aRecord.second.mLastAt + kQuarantineFor <= aNow;
+  });
+}
+
+void fleet_control::WritePermits(const entry_report& aReport,
+                                 instant aNow,
+                                 entry_update& aUpdate) const
+{
+  for (const backend_record* backend : mBackends.ListCold(aNow)) {
+    const auto service =
+      std::ranges::find(mConfig.mServices, backend->mService, &service_rule::mName);
+    if (service == mConfig.mServices.end() || service->mWarmupRate <= 0) {
+      continue;
+    }
+    const std::optional<double> rate =
+      mEntries.FindWarmupRate(aReport.mPlace.mVm, *backend, service->mWarmupRate, aNow);
+    if (rate) {
+      aUpdate.mPermits.push_back({ backend->mId, *rate });
+    }
+  }
+}
+
+fleet_message fleet_control::AnswerReport(const entry_report& aReport,
+                                          instant aNow,
+                                          fleet_actions& aActions)
+{
+  entry_update update;
+  update.mNumber = aReport.mNumber;
+  update.mContacts = GetContacts();
+  if (!mGroup.IsConfirmedLeader(aNow)) {
+    return update;
+  }
+  mEntries.Take(aReport, mConfig.mWorkspaces, aNow);
+  NoteCrashes(aReport, aNow, aActions);
+  update.mIsConfirmed = true;
+  update.mProofAge = (aNow - *mGroup.GetConfirmedAt()).count();
+  update.mConfig = mState.GetVersion();
+  if (aReport.mConfig != mState.GetVersion()) {
+    update.mConfigText = mState.GetText();
+  }
+  update.mEvacuatedZones.assign(mState.GetEvacuatedZones().begin(),
+                                mState.GetEvacuatedZones().end());
+  mBackends.WriteNews(aReport.mListEpoch, aReport.mListRevision, aNow, update);
+  update.mShares = mEntries.TakeShares(aReport.mPlace.mVm);
+  WritePermits(aReport, aNow, update);
+  for (const auto& [fingerprint, record] : mCrashes) {
+    if (record.mBackends.size() >= kQuarantineCrashes) {
+      update.mQuarantined.push_back(fingerprint);
+    }
+  }
+  return update;
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/fleet/fleet_message.h
@@ -0,0 +1,257 @@
+#ifndef CITRONPULLEY_FLEET_FLEET_MESSAGE_H
+#define CITRONPULLEY_FLEET_FLEET_MESSAGE_H
+
+#include "citronpulley/base/digest.h"
+#include "citronpulley/base/result.h"
+#include "citronpulley/steering/backend_record.h"
+#include "citronpulley/steering/traffic_config.h"
+#include "citronpulley/wire/peer_message.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/**
+ * @file
+ * Messages between the processes of direct steering. A VM is named by the address of its internal
+ * port, so that its name is enough to reach it.
+ */
+
+namespace citronpulley {
+
+/** Asks a control VM whom it knows. */
+struct contact_request
+{
+  /** VM that asks. */
+  vm_name mVm;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mVm);
+  }
+};
+
+/** Control VMs that the sender knows. */
+struct contact_reply
+{
+  /** Empty while it is unknown. */
+  vm_name mLeader;
+  std::vector<vm_name> mControlVms;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mLeader, mControlVms);
+  }
+};
+
+/** Message of the control group. */
+struct group_message
+{
+  vm_name mSender;
+  peer_message mMessage;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mSender, mMessage);
+  }
+};
+
+/** Requests per second that callers of a workspace asked of one entry VM. */
+struct workspace_demand
+{
+  workspace_name mWorkspace;
+  double mRate = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mWorkspace, mRate);
+  }
+};
+
+/** Part of a workspace's rate that one entry VM may use. */
+struct workspace_share
+{
+  workspace_name mWorkspace;
+  double mRate = 0;
+  double mBurst = 0;
+
+  friend bool operator==(const workspace_share&, const workspace_share&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mWorkspace, mRate, mBurst);
+  }
+};
+
+/** Requests per second that one entry VM may send to a cold backend server. */
+struct warmup_permit
+{
+  std::string mBackend;
+  double mRate = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mBackend, mRate);
+  }
+};
+
+/** Request that ran on a backend server when it crashed. */
+struct crash_notice
+{
+  digest mFingerprint;
+  /** Start of the backend server that crashed, so that one crash counts once. */
+  std::string mBackend;
+
+  friend auto operator<=>(const crash_notice&, const crash_notice&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mFingerprint, mBackend);
+  }
+};
+
+/** Place of an entry VM and the address for its callers. */
+struct entry_place
+{
+  vm_name mVm;
+  std::string mCallerAddress;
+  zone_name mZone;
+  region_name mRegion;
+
+  friend auto operator<=>(const entry_place&, const entry_place&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mVm, mCallerAddress, mZone, mRegion);
+  }
+};
+
+/** Report of an entry VM, which also asks for news. */
+struct entry_report
+{
+  entry_place mPlace;
+  /** Callers may be sent to it. */
+  bool mIsAccepting = false;
+  /** Number of the report; the update repeats it. */
+  std::uint64_t mNumber = 0;
+  config_version mConfig = 0;
+  /** State of the list of backend servers that the VM holds. */
+  std::uint64_t mListEpoch = 0;
+  std::uint64_t mListRevision = 0;
+  std::vector<workspace_demand> mDemands;
+  std::vector<crash_notice> mCrashes;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mPlace,
+             mIsAccepting,
+             mNumber,
+             mConfig,
+             mListEpoch,
+             mListRevision,
+             mDemands,
+             mCrashes);
+  }
+};
+
+/** News for an entry VM. */
+struct entry_update
+{
+  std::uint64_t mNumber = 0;
+  /** False when the sender cannot prove that it leads; the rest but the contacts is empty then. */
+  bool mIsConfirmed = false;
+  contact_reply mContacts;
+  /** Age of the proof, in microseconds, when the update was sent. */
+  std::int64_t mProofAge = 0;
+  config_version mConfig = 0;
+  /** Text of the configuration; empty when the VM has it. */
+  std::string mConfigText;
+  std::vector<zone_name> mEvacuatedZones;
+  std::uint64_t mListEpoch = 0;
+  std::uint64_t mListRevision = 0;
+  /** True when `mBackends` is the whole list. */
+  bool mIsWholeList = false;
+  std::vector<backend_record> mBackends;
+  /** Backend servers that left, crashed for long or were replaced. */
+  std::vector<std::string> mRemoved;
+  std::vector<workspace_share> mShares;
+  std::vector<warmup_permit> mPermits;
+  /** Fingerprints of requests that crash backend servers. */
+  std::vector<digest> mQuarantined;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mNumber,
+             mIsConfirmed,
+             mContacts,
+             mProofAge,
+             mConfig,
+             mConfigText,
+             mEvacuatedZones,
+             mListEpoch,
+             mListRevision,
+             mIsWholeList,
+             mBackends,
+             mRemoved,
+             mShares,
+             mPermits,
+             mQuarantined);
+  }
+};
+
+/** Announcements that a control VM took and passes on to the leader. */
+struct announcement_batch
+{
+  std::vector<backend_record> mAnnouncements;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mAnnouncements);
+  }
+};
+
+/** Entry VMs that take callers, from the leader to the other control VMs. */
+struct directory_news
+{
+  vm_name mLeader;
+  std::vector<vm_name> mControlVms;
+  std::vector<entry_place> mEntries;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mLeader, mControlVms, mEntries);
+  }
+};
+
+/** New alternatives are added at the end: the position is the type number on the wire. */
+using fleet_message = std::variant<contact_request,
+                                   contact_reply,
+                                   group_message,
+                                   entry_report,
+                                   entry_update,
+                                   announcement_batch,
+                                   directory_news>;
+
+/** @return the encoded message */
+std::string EncodeFleetMessage(const fleet_message& aMessage);
+
+/** @return the message, or `bad_message` when the bytes are not exactly one message */
+result<fleet_message> DecodeFleetMessage(std::string_view aBytes);
+
+} // namespace citronpulley
+
+#endif
--- /dev/null
+++ b/src/citronpulley/fleet/fleet_state.cpp
@@ -0,0 +1,102 @@
+#include "citronpulley/fleet/fleet_state.h"
+
+#include "citronpulley/wire/codec.h"
+
+namespace citronpulley {
+
+namespace {
+
+digest DigestOf(const put_config& aPut)
+{
+  return ComputeDigest(std::to_string(aPut.mVersion) + "/" + std::to_string(aPut.mBase) + "/" +
+                       aPut.mText);
+}
+
+} // namespace
+
+std::string EncodeFleetCommand(const fleet_command& aCommand)
+{
+  return EncodeValue(aCommand);
+}
+
+result<fleet_command> DecodeFleetCommand(std::string_view aBytes)
+{
+  return DecodeValue<fleet_command>(aBytes);
+}
+
+fleet_outcome fleet_state::Apply(log_index aIndex, const fleet_command& aCommand)
+{
+  mIndex = aIndex;
+  return std::visit([this](const auto& aOne) { return Do(aOne); }, aCommand);
+}
+
+bool fleet_state::WasAccepted(const put_config& aPut) const
+{
+  return mAccepted.contains(DigestOf(aPut));
+}
+
+bool fleet_state::HasLeft(const std::string& aBackend, std::int64_t aStartedAtMs) const
+{
+  const auto found = mDepartures.find(aBackend);
+  return found != mDepartures.end() && aStartedAtMs <= found->second;
+}
+
+fleet_outcome fleet_state::Do(const put_config& aPut)
+{
+  const digest identity = DigestOf(aPut);
+  if (mAccepted.contains(identity)) {
+    return fleet_outcome::Accepted;
+  }
+  if (aPut.mBase != mVersion) {
+    return fleet_outcome::Conflict;
+  }
+  if (aPut.mVersion <= mVersion) {
+    return fleet_outcome::NotNewer;
+  }
+  mVersion = aPut.mVersion;
+  mText = aPut.mText;
+  mAccepted.insert(identity);
+  mAcceptedOrder.push_back(identity);
+  if (mAcceptedOrder.size() > kMaxAccepted) {
+    mAccepted.erase(mAcceptedOrder.front());
+    mAcceptedOrder.erase(mAcceptedOrder.begin());
+  }
+  return fleet_outcome::Accepted;
+}
+
+fleet_outcome fleet_state::Do(const set_evacuation& aSet)
+{
+  if (aSet.mIsEvacuated) {
+    mEvacuatedZones.insert(aSet.mZone);
+  } else {
+    mEvacuatedZones.erase(aSet.mZone);
+  }
+  return fleet_outcome::Accepted;
+}
+
+fleet_outcome fleet_state::Do(const note_departure& aNote)
+{
+  const auto [place, isNew] = mDepartures.try_emplace(aNote.mBackend, aNote.mStartedAtMs);
+  if (!isNew) {
+    place->second = std::max(place->second, aNote.mStartedAtMs);
+    return fleet_outcome::Accepted;
+  }
+  mDepartureOrder.push_back(aNote.mBackend);
+  if (mDepartureOrder.size() > kMaxDepartures) {
+    mDepartures.erase(mDepartureOrder.front());
+    mDepartureOrder.erase(mDepartureOrder.begin());
+  }
+  return fleet_outcome::Accepted;
+}
+
+std::string fleet_state::Encode() const
+{
+  return EncodeValue(*this);
+}
+
+result<fleet_state> fleet_state::Decode(std::string_view aBytes)
+{
+  return DecodeValue<fleet_state>(aBytes);
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/gateway/backend_channel.cpp
@@ -0,0 +1,274 @@
+#include "citronpulley/gateway/backend_channel.h"
+
+#include "citronpulley/gateway/clock.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <optional>
+#include <utility>
+
+namespace citronpulley {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 8'192;
+constexpr std::uint32_t kMaxHeaderBytes = 65'536;
+constexpr std::uint64_t kMaxBodyBytes = 64UL * 1024 * 1024;
+
+http_reply ToAnswer(http::response<http::string_body>&& aMessage)
+{
+  http_reply answer;
+  answer.mStatus = aMessage.result_int();
+  answer.mReason = std::string(aMessage.reason());
+  for (const auto& field : aMessage) {
+    answer.mFields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+  }
+  answer.mBody = std::move(aMessage.body());
+  return answer;
+}
+
+/** Reads `timeout=N` of a Keep-Alive field. */
+std::optional<microseconds> ReadKeepAlive(std::string_view aValue)
+{
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t place = aValue.find(kName);
+  if (place == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::int64_t seconds = 0;
+  const char* first = aValue.data() + place + kName.size();
+  const auto [last, code] = std::from_chars(first, aValue.data() + aValue.size(), seconds);
+  if (code != std::errc{} || seconds < 0 || seconds > 3'600) {
+    return std::nullopt;
+  }
+  return microseconds(seconds * 1'000'000);
+}
+
+} // namespace
+
+struct backend_channel::parser_state
+{
+  beast::flat_buffer mBuffer;
+  std::optional<http::response_parser<http::string_body>> mMessage;
+};
+
+backend_channel::backend_channel(asio::ip::tcp::socket aSocket)
+  : mSocket(std::move(aSocket))
+  , mParser(std::make_unique<parser_state>())
+{
+}
+
+backend_channel::~backend_channel() = default;
+
+void backend_channel::Connect(const asio::ip::tcp::endpoint& aTo,
+                              std::function<void(bool)> aOnConnected)
+{
+  mOnConnected = std::move(aOnConnected);
+  mConnectUntil = GetBootTime() + kConnectTimeout;
+  mSocket.async_connect(aTo, [self = shared_from_this()](const beast::error_code& aError) {
+    if (self->mIsClosed || self->mIsConnected) {
+      return;
+    }
+    const auto onConnected = std::exchange(self->mOnConnected, {});
+    if (aError) {
+      self->Close();
+    } else {
+      beast::error_code ignored;
+      self->mSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+      const unsigned timeout = kUnackedTimeoutMs;
+      ::setsockopt(self->mSocket.native_handle(),
+                   IPPROTO_TCP,
+                   TCP_USER_TIMEOUT,
+                   &timeout,
+                   sizeof(timeout));
+      self->mIsConnected = true;
+      self->mIdleUntil = GetBootTime() + self->mIdleTime;
+      self->Read();
+    }
+    if (onConnected) {
+      onConnected(!aError);
+    }
+  });
+}
+
+void backend_channel::CheckTime(instant aNow)
+{
+  if (mIsClosed) {
+    return;
+  }
+  if (!mIsConnected && mConnectUntil <= aNow) {
+    const auto onConnected = std::exchange(mOnConnected, {});
+    Close();
+    if (onConnected) {
+      onConnected(false);
+    }
+  } else if (mIsConnected && !mOnEnd && !mIsWriting && !mIsReserved && mIdleUntil <= aNow) {
+    Close();
+  }
+}
+
+void backend_channel::Send(channel_query aQuery, on_end aOnEnd)
+{
+  mQuery = std::move(aQuery);
+  mOnEnd = std::move(aOnEnd);
+  mIsReserved = false;
+  mIsWriting = true;
+  // The first part is written at once: an error then proves that nothing was sent.
+  beast::error_code error;
+  mSocket.non_blocking(true, error);
+  std::size_t written = 0;
+  if (!error) {
+    written = mSocket.write_some(asio::buffer(mQuery.mWire), error);
+  }
+  if (error && error != asio::error::would_block) {
+    mIsWriting = false;
+    Finish(channel_end::NotSent);
+    return;
+  }
+  if (written == mQuery.mWire.size()) {
+    mIsWriting = false;
+    mQuery.mWire.clear();
+    return;
+  }
+  asio::async_write(mSocket,
+                    asio::buffer(mQuery.mWire) + written,
+                    [self = shared_from_this()](const beast::error_code& aError, std::size_t) {
+                      self->mIsWriting = false;
+                      if (aError && !self->mIsClosed) {
+                        self->TakeEnd(false);
+                      }
+                    });
+}
+
+void backend_channel::Read()
+{
+  mSocket.async_read_some(
+    mParser->mBuffer.prepare(kReadBytes),
+    [self = shared_from_this()](const beast::error_code& aError, std::size_t aBytes) {
+      if (self->mIsClosed) {
+        return;
+      }
+      if (aError) {
+        self->TakeEnd(aError == asio::error::eof);
+        return;
+      }
+      self->mParser->mBuffer.commit(aBytes);
+      if (!self->mOnEnd) {
+        // Bytes that answer no request.
+        self->Close();
+        return;
+      }
+      self->TakeBytes();
+      if (!self->mIsClosed) {
+        self->Read();
+      }
+    });
+}
+
+void backend_channel::TakeBytes()
+{
+  parser_state& state = *mParser;
+  while (mOnEnd && state.mBuffer.size() > 0) {
+    if (!state.mMessage) {
+      state.mMessage.emplace();
+      state.mMessage->eager(true);
+      state.mMessage->header_limit(kMaxHeaderBytes);
+      state.mMessage->body_limit(kMaxBodyBytes);
+      state.mMessage->skip(mQuery.mIsHead);
+    }
+    beast::error_code error;
+    const std::size_t used = state.mMessage->put(state.mBuffer.data(), error);
+    state.mBuffer.consume(used);
+    if (error && error != http::error::need_more) {
+      Finish(channel_end::Malformed);
+      return;
+    }
+    if (!state.mMessage->is_done()) {
+      if (error || used == 0) {
+        return;
+      }
+      continue;
+    }
+    if (TakeAnswer()) {
+      return;
+    }
+  }
+}
+
+bool backend_channel::TakeAnswer()
+{
+  http::response_parser<http::string_body>& parser = *mParser->mMessage;
+  const bool isKept = parser.keep_alive() && !parser.need_eof();
+  const std::string_view keepAlive = parser.get()["Keep-Alive"];
+  const std::optional<microseconds> stated = ReadKeepAlive(keepAlive);
+  http_reply answer = ToAnswer(parser.release());
+  mParser->mMessage.reset();
+  if (answer.mStatus < 200) {
+    return false;
+  }
+  const std::string* id = FindField(answer.mFields, mQuery.mRequestIdName);
+  if (!mQuery.mRequestId.empty() && id != nullptr && *id != mQuery.mRequestId) {
+    // A second response to an earlier request: the own one follows it.
+    mIsReusable = false;
+    return false;
+  }
+  // Only a success must prove that it belongs to the request.
+  const bool hasOwnId = mQuery.mRequestId.empty() || id != nullptr || answer.mStatus >= 300;
+  if (stated) {
+    mIdleTime =
+      microseconds(static_cast<microseconds::rep>(static_cast<double>(stated->count()) * kIdleUse));
+  }
+  mIsReusable = mIsReusable && isKept && !mIsWriting && mParser->mBuffer.size() == 0;
+  Finish(hasOwnId ? channel_end::Answered : channel_end::Malformed, std::move(answer));
+  return true;
+}
+
+void backend_channel::TakeEnd(bool aIsClean)
+{
+  if (!mOnEnd) {
+    Close();
+    return;
+  }
+  mIsReusable = false;
+  std::optional<http::response_parser<http::string_body>>& message = mParser->mMessage;
+  if (aIsClean && message && message->is_header_done() && message->need_eof()) {
+    beast::error_code error;
+    message->put_eof(error);
+    if (!error && message->is_done() && TakeAnswer()) {
+      return;
+    }
+  }
+  Finish(channel_end::Lost);
+}
+
+void backend_channel::Finish(channel_end aEnd, http_reply aAnswer)
+{
+  const auto onEnd = std::exchange(mOnEnd, {});
+  if (aEnd != channel_end::Answered || !mIsReusable) {
+    Close();
+  } else {
+    mIdleUntil = GetBootTime() + mIdleTime;
+  }
+  if (onEnd) {
+    onEnd(aEnd, std::move(aAnswer));
+  }
+}
+
+void backend_channel::Close()
+{
+  mIsClosed = true;
+  mOnEnd = {};
+  mOnConnected = {};
+  beast::error_code ignored;
+  mSocket.close(ignored);
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/gateway/control_gateway.cpp
@@ -0,0 +1,371 @@
+#include "citronpulley/gateway/control_gateway.h"
+
+#include "citronpulley/base/overloaded.h"
+#include "citronpulley/gateway/clock.h"
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+#include <utility>
+
+namespace citronpulley {
+
+namespace {
+
+constexpr microseconds kSlowCheckInterval{ 100'000 };
+/** Time in which requests in progress end after the signal to stop. */
+constexpr microseconds kStopDelay{ 500'000 };
+/** Limits of calls to this interface; the limits of the configuration concern callers. */
+constexpr std::uint32_t kMaxHeaderBytes = 16'384;
+constexpr microseconds kIdleTimeout{ 30'000'000 };
+
+std::uint64_t MakeRandomNumber()
+{
+  std::random_device source;
+  return (std::uint64_t{ source() } << 32U | source()) | 1U;
+}
+
+std::string_view GetIp(std::string_view aAddress)
+{
+  return aAddress.substr(0, aAddress.rfind(':'));
+}
+
+std::string_view GetPort(std::string_view aAddress)
+{
+  return aAddress.substr(aAddress.rfind(':') + 1);
+}
+
+} // namespace
+
+control_gateway::control_gateway(control_gateway_settings aSettings,
+                                 std::unique_ptr<wire_dialect> aDialect)
+  : mSettings(std::move(aSettings))
+  , mDialect(std::move(aDialect))
+  , mLog(mSettings.mName)
+  , mStorage(mFiles, mSettings.mDataFolder)
+  , mContext(std::make_shared<http_session_context>())
+  , mControlListener(mIo, mContext)
+  , mDirectoryListener(mIo, mContext)
+  , mBus(
+      mIo,
+      [this](const fleet_message& aMessage, const fleet_bus::reply& aReply) {
+        fleet_actions actions;
+        mControl->Receive(aMessage, GetBootTime(), aReply, actions);
+        Do(actions);
+      },
+      [](const vm_name&, bool) {})
+  , mSignals(mIo, SIGTERM, SIGINT, SIGHUP)
+  , mTimer(mIo)
+{
+  mContext->mLimits = [] {
+    caller_limits limits;
+    limits.mMaxHeaderBytes = kMaxHeaderBytes;
+    limits.mMaxBodyBytes = kMaxBodyBytes;
+    limits.mIdleTimeout = kIdleTimeout;
+    return limits;
+  };
+  mContext->mOnRequest = [this](const request_ptr& aRequest) { TakeRequest(aRequest); };
+}
+
+control_gateway::~control_gateway() = default;
+
+status control_gateway::OpenStorage()
+{
+  result<recovered_member> recovered = mStorage.Open(member_id{ MakeRandomNumber() });
+  if (!recovered) {
+    return recovered.GetError();
+  }
+  if (mSettings.mIsFirstStart) {
+    std::optional<storage_batch> founding =
+      FoundGroup(mSettings.mControl, recovered.Get(), MakeRandomNumber());
+    if (founding) {
+      if (status stored = mStorage.Store({ *founding }); !stored) {
+        return stored;
+      }
+      recovered.Get().mEntries = founding->mEntries;
+      mLog.Write("group_founded", {}, GetBootTime());
+    }
+  }
+  mControl = std::make_unique<fleet_control>(
+    mSettings.mControl,
+    [this](std::string_view aText) { return mDialect->ReadConfig(aText); },
+    std::move(recovered.Get()),
+    MakeRandomNumber(),
+    GetBootTime());
+  mDisk = std::make_unique<disk_writer>(
+    mIo, mStorage, [this](const result<std::uint64_t>& aOutcome) {
+      if (!aOutcome) {
+        mLog.Write("disk_failed", { { "error", aOutcome.GetError().mMessage } }, GetBootTime());
+        mControl->TakeStorageFailure();
+        return;
+      }
+      fleet_actions actions;
+      mControl->TakeStored(aOutcome.Get(), GetBootTime(), actions);
+      Do(actions);
+    });
+  return std::monostate{};
+}
+
+status control_gateway::Run()
+{
+  if (status opened = OpenStorage(); !opened) {
+    return opened;
+  }
+  if (status opened = mBus.Open(mSettings.mControl.mSelf.mValue); !opened) {
+    return opened;
+  }
+  if (status opened = mControlListener.Open(mSettings.mControlAddress); !opened) {
+    return opened;
+  }
+  if (status opened = mDirectoryListener.Open(mSettings.mDirectoryAddress); !opened) {
+    return opened;
+  }
+  mLog.Write("start",
+             { { "role", "control" },
+               { "address", mSettings.mControl.mSelf.mValue },
+               { "first_start", mSettings.mIsFirstStart ? "yes" : "no" },
+               { "config", static_cast<std::uint64_t>(mControl->GetState().GetVersion()) },
+               { "last_index", static_cast<std::uint64_t>(mControl->GetGroup().GetLastIndex()) } },
+             GetBootTime());
+  WaitForSignal();
+  Tick();
+  mIo.run();
+  mDisk.reset();
+  const instant now = GetBootTime();
+  mLog.Write("stop", {}, now);
+  mLog.Flush(now);
+  return std::monostate{};
+}
+
+void control_gateway::WaitForSignal()
+{
+  mSignals.async_wait([this](const boost::system::error_code& aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    const instant now = GetBootTime();
+    if (aSignal == SIGHUP) {
+      mLog.Write("reload", {}, now);
+    } else if (!mStopAt) {
+      mLog.Write("stopping", {}, now);
+      mContext->mIsStopping = true;
+      mStopAt = now + kStopDelay;
+    }
+    WaitForSignal();
+  });
+}
+
+void control_gateway::Tick()
+{
+  const instant now = GetBootTime();
+  fleet_actions actions;
+  mControl->Tick(now, actions);
+  Do(actions);
+  if (mNextSlowCheckAt <= now) {
+    mNextSlowCheckAt = now + kSlowCheckInterval;
+    mControlListener.CheckTime(now);
+    mDirectoryListener.CheckTime(now);
+    mBus.CheckTime(now);
+    mLog.Flush(now);
+  }
+  if (mStopAt && *mStopAt <= now) {
+    mIo.stop();
+    return;
+  }
+  mTimer.expires_after(kTick);
+  mTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      Tick();
+    }
+  });
+}
+
+void control_gateway::Do(fleet_actions& aActions)
+{
+  for (fleet_action& action : aActions) {
+    std::visit(overloaded{
+                 [this](send_fleet_message& aSend) { mBus.Send(aSend.mVm, aSend.mMessage); },
+                 [this](storage_batch& aBatch) { mDisk->Store(std::move(aBatch)); },
+                 [this](fleet_event& aEvent) {
+                   mLog.Write(aEvent.mName, aEvent.mDetails, GetBootTime());
+                 },
+               },
+               action);
+  }
+}
+
+void control_gateway::Answer(const request_ptr& aRequest,
+                             unsigned aStatus,
+                             std::string_view aMessage)
+{
+  aRequest->Respond(MakeAnswer(aStatus, mDialect->WriteError(aMessage)));
+}
+
+void control_gateway::TakeRequest(const request_ptr& aRequest)
+{
+  const control_call call = mDialect->ReadCall(aRequest->mQuery);
+  std::visit(overloaded{
+               [&](const unknown_call&) { Answer(aRequest, 404, "no such call"); },
+               [&](const ready_call&) { Answer(aRequest, 404, "no such call"); },
+               [&](const auto& aOne) { TakeCall(aRequest, aOne); },
+             },
+             call);
+}
+
+bool control_gateway::SendToLeader(const request_ptr& aRequest)
+{
+  if (mControl->MayAccept(GetBootTime())) {
+    return false;
+  }
+  const vm_name& leader = mControl->GetLeader();
+  if (leader.IsEmpty() || mControl->IsLeader()) {
+    Answer(aRequest, 503, "no leader is known");
+    return true;
+  }
+  // The ports are the same on all control VMs.
+  std::string location = "http://";
+  location.append(GetIp(leader.mValue)).append(":");
+  location.append(GetPort(mSettings.mControlAddress)).append(aRequest->mQuery.mTarget);
+  aRequest->Respond(MakeAnswer(307, {}, { { "Location", location } }));
+  return true;
+}
+
+void control_gateway::TakeCall(const request_ptr& aRequest, const put_config_call& aCall)
+{
+  const instant now = GetBootTime();
+  if (!aCall.mConfig) {
+    mLog.Write("config_refused", { { "reason", aCall.mConfig.GetError().mMessage } }, now);
+    Answer(aRequest, 400, aCall.mConfig.GetError().mMessage);
+    return;
+  }
+  const traffic_config& config = aCall.mConfig.Get();
+  if (const std::optional<std::string> fault = FindFault(config)) {
+    mLog.Write("config_refused",
+               { { "version", static_cast<std::uint64_t>(config.mVersion) }, { "reason", *fault } },
+               now);
+    Answer(aRequest, 400, *fault);
+    return;
+  }
+  if (SendToLeader(aRequest)) {
+    return;
+  }
+  Submit(aRequest, put_config{ config.mVersion, config.mBase, aCall.mText });
+}
+
+void control_gateway::TakeCall(const request_ptr& aRequest, const evacuation_call& aCall)
+{
+  if (!SendToLeader(aRequest)) {
+    Submit(aRequest, aCall.mCommand);
+  }
+}
+
+void control_gateway::TakeCall(const request_ptr& aRequest, const departure_call& aCall)
+{
+  if (SendToLeader(aRequest)) {
+    return;
+  }
+  note_departure command = aCall.mCommand;
+  if (command.mStartedAtMs == 0) {
+    command.mStartedAtMs = mControl->GetStart(command.mBackend);
+  }
+  Submit(aRequest, command);
+}
+
+void control_gateway::Submit(const request_ptr& aRequest, const fleet_command& aCommand)
+{
+  fleet_actions actions;
+  mControl->Submit(
+    aCommand,
+    [this, aRequest](std::optional<fleet_outcome> aOutcome) {
+      if (!aOutcome) {
+        Answer(aRequest, 503, "the outcome is unknown");
+        return;
+      }
+      switch (*aOutcome) {
+        case fleet_outcome::Accepted:
+          aRequest->Respond(MakeAnswer(200, "{}"));
+          return;
+        case fleet_outcome::Conflict:
+          Answer(aRequest, 412, "another version is in force");
+          return;
+        case fleet_outcome::NotNewer:
+          Answer(aRequest, 400, "the version is not above the one in force");
+          return;
+      }
+    },
+    GetBootTime(),
+    actions);
+  Do(actions);
+}
+
+void control_gateway::TakeCall(const request_ptr& aRequest, const get_config_call&)
+{
+  if (SendToLeader(aRequest)) {
+    return;
+  }
+  fleet_actions actions;
+  mControl->Read(
+    [this, aRequest](bool aIsConfirmed) {
+      if (!aIsConfirmed) {
+        Answer(aRequest, 503, "the newest configuration is not known");
+      } else if (mControl->GetState().GetVersion() == 0) {
+        Answer(aRequest, 404, "there is no configuration yet");
+      } else {
+        aRequest->Respond(MakeAnswer(200, mControl->GetState().GetText()));
+      }
+    },
+    GetBootTime(),
+    actions);
+  Do(actions);
+}
+
+void control_gateway::TakeCall(const request_ptr& aRequest, const announcement_call& aCall)
+{
+  if (!aCall.mRecord) {
+    mLog.Write(
+      "announcement_refused", { { "reason", aCall.mRecord.GetError().mMessage } }, GetBootTime());
+    Answer(aRequest, 400, aCall.mRecord.GetError().mMessage);
+    return;
+  }
+  const backend_record& record = aCall.mRecord.Get();
+  if (record.mIsLeaving) {
+    // Acknowledged only once a majority has it: the entry VMs then learn it whatever fails here.
+    if (mControl->GetState().HasLeft(record.mId, record.mStartedAtMs)) {
+      aRequest->Respond(MakeAnswer(200, "{}"));
+    } else if (!SendToLeader(aRequest)) {
+      Submit(aRequest, note_departure{ record.mId, record.mStartedAtMs });
+    }
+    return;
+  }
+  mControl->Announce(record, GetBootTime());
+  aRequest->Respond(MakeAnswer(200, "{}"));
+}
+
+void control_gateway::TakeCall(const request_ptr& aRequest, const resolve_call& aCall)
+{
+  const std::vector<entry_place> entries = mControl->ListEntries(GetBootTime());
+  const auto list = [&entries](const auto& aFits) {
+    std::vector<std::string> addresses;
+    for (const entry_place& entry : entries) {
+      if (aFits(entry) && addresses.size() < kMaxEntries) {
+        addresses.push_back(entry.mCallerAddress);
+      }
+    }
+    return addresses;
+  };
+  std::vector<std::string> addresses =
+    list([&](const entry_place& aEntry) { return aEntry.mZone == aCall.mZone; });
+  if (addresses.size() < kEnoughInZone) {
+    addresses = list([&](const entry_place& aEntry) { return aEntry.mRegion == aCall.mRegion; });
+  }
+  if (addresses.empty()) {
+    addresses = list([](const entry_place&) { return true; });
+  }
+  if (addresses.empty()) {
+    Answer(aRequest, 503, "no entry VM is known");
+    return;
+  }
+  aRequest->Respond(MakeAnswer(200, mDialect->WriteEntries(addresses, kKeepEntriesFor)));
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/gateway/control_gateway.h
@@ -0,0 +1,98 @@
+#ifndef CITRONPULLEY_GATEWAY_CONTROL_GATEWAY_H
+#define CITRONPULLEY_GATEWAY_CONTROL_GATEWAY_H
+
+#include "citronpulley/fleet/fleet_control.h"
+#include "citronpulley/gateway/disk_writer.h"
+#include "citronpulley/gateway/event_log.h"
+#include "citronpulley/gateway/fleet_bus.h"
+#include "citronpulley/gateway/http_listener.h"
+#include "citronpulley/gateway/wire_dialect.h"
+#include "citronpulley/storage/posix_file_system.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace citronpulley {
+
+/** Settings of the process on a control VM. */
+struct control_gateway_settings
+{
+  std::string mName;
+  fleet_control_settings mControl;
+  /** Address for operators and backend servers. */
+  std::string mControlAddress;
+  /** Address for callers that ask where to connect. */
+  std::string mDirectoryAddress;
+  std::string mDataFolder;
+  /** True only when the whole deployment starts for the first time. */
+  bool mIsFirstStart = false;
+};
+
+/**
+ * Process of a control VM in direct steering: serves operators, backend servers and callers that
+ * look for an entry VM. One thread decides and serves; another one writes to the disk.
+ */
+class control_gateway
+{
+public:
+  static constexpr microseconds kTick{ 25'000 };
+  /** Time for which callers may keep the addresses of entry VMs. */
+  static constexpr microseconds kKeepEntriesFor{ 2'000'000 };
+  /** Entry VMs of the caller's zone with which no others are named. */
+  static constexpr std::size_t kEnoughInZone = 2;
+  static constexpr std::size_t kMaxEntries = 64;
+  /** Largest body of an operator. */
+  static constexpr std::uint64_t kMaxBodyBytes = 32UL * 1024 * 1024;
+
+  control_gateway(control_gateway_settings aSettings, std::unique_ptr<wire_dialect> aDialect);
+  ~control_gateway();
+  control_gateway(const control_gateway&) = delete;
+  control_gateway& operator=(const control_gateway&) = delete;
+
+  /** Opens the data folder and the listeners and runs until the process is told to stop. */
+  status Run();
+
+private:
+  using request_ptr = std::shared_ptr<inbound_request>;
+
+  status OpenStorage();
+  void TakeRequest(const request_ptr& aRequest);
+  void TakeCall(const request_ptr& aRequest, const put_config_call& aCall);
+  void TakeCall(const request_ptr& aRequest, const get_config_call& aCall);
+  void TakeCall(const request_ptr& aRequest, const evacuation_call& aCall);
+  void TakeCall(const request_ptr& aRequest, const announcement_call& aCall);
+  void TakeCall(const request_ptr& aRequest, const departure_call& aCall);
+  void TakeCall(const request_ptr& aRequest, const resolve_call& aCall);
+  void Submit(const request_ptr& aRequest, const fleet_command& aCommand);
+  /** @return true when the request was sent on, because this VM does not lead */
+  bool SendToLeader(const request_ptr& aRequest);
+  void Answer(const request_ptr& aRequest, unsigned aStatus, std::string_view aMessage);
+  void Do(fleet_actions& aActions);
+  void Tick();
+  void WaitForSignal();
+
+  control_gateway_settings mSettings;
+  std::unique_ptr<wire_dialect> mDialect;
+  boost::asio::io_context mIo{ 1 };
+  event_log mLog;
+  posix_file_system mFiles;
+  member_storage mStorage;
+  std::unique_ptr<fleet_control> mControl;
+  std::unique_ptr<disk_writer> mDisk;
+  std::shared_ptr<http_session_context> mContext;
+  http_listener mControlListener;
+  http_listener mDirectoryListener;
+  fleet_bus mBus;
+  boost::asio::signal_set mSignals;
+  boost::asio::steady_timer mTimer;
+  instant mNextSlowCheckAt;
+  std::optional<instant> mStopAt;
+};
+
+} // namespace citronpulley
+
+#endif
--- /dev/null
+++ b/src/citronpulley/gateway/disk_writer.cpp
@@ -0,0 +1,56 @@
+#include "citronpulley/gateway/disk_writer.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace citronpulley {
+
+disk_writer::disk_writer(boost::asio::io_context& aIo,
+                         member_storage& aStorage,
+                         on_stored aOnStored)
+  : mIo(aIo)
+  , mStorage(aStorage)
+  , mOnStored(std::move(aOnStored))
+  , mThread([this] { Run(); })
+{
+}
+
+disk_writer::~disk_writer()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mIsEnding = true;
+  }
+  mWork.notify_one();
+  mThread.join();
+}
+
+void disk_writer::Store(storage_batch aBatch)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mBatches.push_back(std::move(aBatch));
+  }
+  mWork.notify_one();
+}
+
+void disk_writer::Run()
+{
+  while (true) {
+    std::vector<storage_batch> batches;
+    {
+      std::unique_lock lock(mMutex);
+      mWork.wait(lock, [this] { return mIsEnding || !mBatches.empty(); });
+      if (mIsEnding) {
+        return;
+      }
+      batches = std::exchange(mBatches, {});
+    }
+    const status stored = mStorage.Store(batches);
+    result<std::uint64_t> outcome =
+      stored ? result<std::uint64_t>(batches.back().mNumber) : result<std::uint64_t>(stored.GetError());
+    boost::asio::post(mIo, [this, outcome] { mOnStored(outcome); });
+  }
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -0,0 +1,533 @@
+#include "citronpulley/gateway/entry_gateway.h"
+
+#include "citronpulley/gateway/clock.h"
+
+#include <algorithm>
+#include <charconv>
+#include <csignal>
+#include <utility>
+
+namespace citronpulley {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Time after which a caller may come back after a refusal that will soon be outdated. */
+constexpr const char* kRetryAfter = "0.2";
+/** Time to the next token of a workspace over its rate. */
+constexpr const char* kRateRetryAfter = "1";
+/** Margin by which a backend server stops before this VM does. */
+constexpr std::int64_t kDeadlineMarginMs = 5;
+
+std::optional<microseconds> ReadMilliseconds(const std::string* aValue)
+{
+  if (aValue == nullptr) {
+    return std::nullopt;
+  }
+  double milliseconds = 0;
+  const char* end = aValue->data() + aValue->size();
+  const auto [last, code] = std::from_chars(aValue->data(), end, milliseconds);
+  if (code != std::errc{} || last != end || !(milliseconds >= 0) || milliseconds > 3.6e6) {
+    return std::nullopt;
+  }
+  return microseconds(static_cast<microseconds::rep>(milliseconds * 1'000));
+}
+
+std::string_view GetHost(const http_query& aQuery)
+{
+  const std::string* host = FindField(aQuery.mFields, "Host");
+  if (host == nullptr) {
+    return {};
+  }
+  return std::string_view(*host).substr(0, host->find(':'));
+}
+
+unsigned StatusOf(refusal_reason aReason)
+{
+  switch (aReason) {
+    case refusal_reason::UnknownRoute:
+      return 404;
+    case refusal_reason::UnknownKey:
+      return 401;
+    case refusal_reason::RateExceeded:
+      return 429;
+    case refusal_reason::OutcomeUnknown:
+      return 502;
+    case refusal_reason::TimedOut:
+      return 504;
+    default:
+      return 503;
+  }
+}
+
+} // namespace
+
+struct entry_gateway::exchange
+{
+  std::shared_ptr<inbound_request> mRequest;
+  admission_ticket mTicket;
+  placement mPlacement;
+  std::function<void()> mCancel;
+  instant mAttemptAt;
+  bool mIsRunning = false;
+};
+
+entry_gateway::entry_gateway(entry_gateway_settings aSettings,
+                             std::unique_ptr<wire_dialect> aDialect)
+  : mSettings(std::move(aSettings))
+  , mDialect(std::move(aDialect))
+  , mNames(mDialect->GetHeaders())
+  , mLog(mSettings.mName)
+  , mSteering(mSettings.mSteering,
+              [this](std::string_view aText) { return mDialect->ReadConfig(aText); })
+  , mConnector(mIo)
+  , mFrontContext(std::make_shared<http_session_context>())
+  , mFront(mIo, mFrontContext)
+  , mReady(mIo,
+           std::make_shared<http_session_context>(http_session_context{
+             [] { return caller_limits{}; },
+             [this](const auto& aRequest) { TakeReadyCall(aRequest); } }))
+  , mBus(
+      mIo,
+      [this](const fleet_message& aMessage, const auto&) {
+        if (const auto* update = std::get_if<entry_update>(&aMessage)) {
+          mSubscription.Take(*update, GetBootTime());
+        }
+      },
+      [](const vm_name&, bool) {})
+  , mSubscription(mBus, mSteering, mLog, mSettings.mControlVms)
+  , mSignals(mIo, SIGTERM, SIGINT, SIGHUP)
+  , mTimer(mIo)
+{
+  mFrontContext->mLimits = [this] {
+    return mSteering.GetConfig() ? mSteering.GetConfig()->GetConfig().mLimits : caller_limits{};
+  };
+  mFrontContext->mOnRequest = [this](const auto& aRequest) { TakeRequest(aRequest); };
+}
+
+status entry_gateway::Run()
+{
+  if (status opened = mFront.Open(mSettings.mSteering.mPlace.mCallerAddress); !opened) {
+    return opened;
+  }
+  if (status opened = mReady.Open(mSettings.mReadyAddress); !opened) {
+    return opened;
+  }
+  mLog.Write("start",
+             { { "role", "entry" },
+               { "address", mSettings.mSteering.mPlace.mCallerAddress },
+               { "zone", mSettings.mSteering.mPlace.mZone.mValue } },
+             GetBootTime());
+  WaitForSignal();
+  Tick();
+  mIo.run();
+  const instant now = GetBootTime();
+  mLog.Write("stop", { { "open_requests", static_cast<std::uint64_t>(mExchanges.size()) } }, now);
+  mLog.Flush(now);
+  return std::monostate{};
+}
+
+void entry_gateway::WaitForSignal()
+{
+  mSignals.async_wait([this](const boost::system::error_code& aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      // The settings hold nothing that may change while the process runs but the seeds, which are
+      // used at a start only.
+      mLog.Write("reload", {}, GetBootTime());
+    } else if (!mIsStopping) {
+      BeginStop();
+    }
+    WaitForSignal();
+  });
+}
+
+void entry_gateway::BeginStop()
+{
+  mIsStopping = true;
+  mStoppingSince = GetBootTime();
+  mLog.Write("stopping",
+             { { "open_requests", static_cast<std::uint64_t>(mExchanges.size()) } },
+             mStoppingSince);
+  mFront.BeginStop();
+  mSubscription.Hurry();
+}
+
+void entry_gateway::CheckStop(instant aNow)
+{
+  if (!mIsStopping) {
+    return;
+  }
+  const double part = static_cast<double>((aNow - mStoppingSince).count()) /
+                      static_cast<double>(mSettings.mGrace.count());
+  if (part >= kEndLatest || (part >= kEndAfter && mExchanges.empty() && mFront.CountBusy() == 0)) {
+    mIo.stop();
+  }
+}
+
+void entry_gateway::ScheduleTick()
+{
+  const microseconds interval = mExchanges.empty() ? kIdleTick : kBusyTick;
+  mTimer.expires_after(interval);
+  mTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      Tick();
+    }
+  });
+}
+
+void entry_gateway::Tick()
+{
+  const instant now = GetBootTime();
+  CheckDeadlines(now);
+  mConnector.CheckTime(now);
+  mSteering.Tick(now);
+  mSubscription.Tick(!mIsStopping, now);
+  if (mNextSlowCheckAt <= now) {
+    mNextSlowCheckAt = now + kIdleTick;
+    mFront.CheckTime(now);
+    mReady.CheckTime(now);
+    mBus.CheckTime(now);
+    mLog.Flush(now);
+  }
+  CheckStop(now);
+  ScheduleTick();
+}
+
+void entry_gateway::TakeReadyCall(const std::shared_ptr<inbound_request>& aRequest)
+{
+  const control_call call = mDialect->ReadCall(aRequest->mQuery);
+  if (!std::holds_alternative<ready_call>(call)) {
+    aRequest->Respond(MakeAnswer(404));
+    return;
+  }
+  const bool isReady = !mIsStopping && mSteering.GetConfig() != nullptr;
+  aRequest->Respond(MakeAnswer(isReady ? 200 : 503));
+}
+
+digest entry_gateway::GetFingerprint(const http_query& aQuery,
+                                     const workspace_name& aWorkspace) const
+{
+  std::string text = aWorkspace.mValue;
+  text.append("\n").append(aQuery.mMethod).append("\n").append(GetHost(aQuery));
+  text.append("\n").append(aQuery.mTarget).append("\n").append(aQuery.mBody);
+  return ComputeDigest(text);
+}
+
+void entry_gateway::TakeRequest(const std::shared_ptr<inbound_request>& aRequest)
+{
+  const instant now = GetBootTime();
+  if (mIsStopping &&
+      static_cast<double>((now - mStoppingSince).count()) >
+        kRefuseAfter * static_cast<double>(mSettings.mGrace.count())) {
+    Refuse(aRequest, refusal_reason::Stopping);
+    return;
+  }
+  const http_query& query = aRequest->mQuery;
+  request_facts facts;
+  facts.mHost = GetHost(query);
+  facts.mPath = query.GetPath();
+  facts.mKey = FindField(query.mFields, mNames.mKey);
+  facts.mAffinityKey = FindField(query.mFields, mNames.mAffinityKey);
+  facts.mPatience = ReadMilliseconds(FindField(query.mFields, mNames.mDeadline));
+  facts.mFingerprint = [&](const workspace_name& aWorkspace) {
+    return GetFingerprint(query, aWorkspace);
+  };
+  std::variant<admission_ticket, refusal> admitted = mSteering.Admit(facts, now);
+  if (const auto* refused = std::get_if<refusal>(&admitted)) {
+    Refuse(aRequest, refused->mReason);
+    return;
+  }
+  auto exchange = std::make_shared<entry_gateway::exchange>();
+  exchange->mRequest = aRequest;
+  exchange->mTicket = std::move(std::get<admission_ticket>(admitted));
+  mExchanges.insert(exchange);
+  aRequest->mOnAbandoned = [this, weak = std::weak_ptr(exchange)] {
+    if (const exchange_ptr held = weak.lock()) {
+      Abandon(held);
+    }
+  };
+  StartAttempt(exchange);
+}
+
+void entry_gateway::StartAttempt(const exchange_ptr& aExchange)
+{
+  const instant now = GetBootTime();
+  std::variant<placement, refusal> place = mSteering.Place(aExchange->mTicket, now);
+  if (const auto* refused = std::get_if<refusal>(&place)) {
+    RefuseExchange(aExchange,
+                   aExchange->mTicket.mMayHaveRun ? refusal_reason::OutcomeUnknown
+                                                  : refused->mReason);
+    return;
+  }
+  aExchange->mPlacement = std::move(std::get<placement>(place));
+  aExchange->mAttemptAt = now;
+  aExchange->mIsRunning = true;
+  mSteering.NoteSent(aExchange->mPlacement, now);
+  aExchange->mCancel =
+    mConnector.Send(aExchange->mPlacement.mAddress,
+                    BuildQuery(*aExchange, now),
+                    [this, aExchange](channel_end aEnd, http_reply aAnswer) {
+                      TakeEnd(aExchange, aEnd, std::move(aAnswer));
+                    });
+}
+
+channel_query entry_gateway::BuildQuery(const exchange& aExchange, instant aNow) const
+{
+  const http_query& query = aExchange.mRequest->mQuery;
+  http_fields fields;
+  for (const http_field& field : query.mFields) {
+    const bool isOwn = IsSameName(field.mName, mNames.mKey) ||
+                       IsSameName(field.mName, mNames.mDeadline) ||
+                       IsSameName(field.mName, mNames.mWorkspace) ||
+                       IsSameName(field.mName, mNames.mExpectedBackend) ||
+                       IsSameName(field.mName, "Expect");
+    if (!isOwn && !IsConnectionField(query.mFields, field.mName)) {
+      fields.push_back(field);
+    }
+  }
+  const std::int64_t left =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aExchange.mTicket.mDeadline - aNow)
+      .count();
+  fields.push_back(
+    { mNames.mDeadline, std::to_string(std::max<std::int64_t>(1, left - kDeadlineMarginMs)) });
+  fields.push_back({ mNames.mExpectedBackend, aExchange.mPlacement.mBackend });
+  if (!aExchange.mTicket.mWorkspace.IsEmpty()) {
+    fields.push_back({ mNames.mWorkspace, aExchange.mTicket.mWorkspace.mValue });
+  }
+  channel_query out;
+  out.mWire = WriteQuery(query.mMethod, query.mTarget, fields, query.mBody);
+  out.mIsHead = query.mMethod == "HEAD";
+  out.mRequestIdName = mNames.mRequestId;
+  if (const std::string* id = FindField(query.mFields, mNames.mRequestId)) {
+    out.mRequestId = *id;
+  }
+  return out;
+}
+
+attempt_outcome entry_gateway::Classify(channel_end aEnd, const http_reply& aAnswer) const
+{
+  if (aEnd == channel_end::NotSent) {
+    return attempt_outcome::NotSent;
+  }
+  if (aEnd != channel_end::Answered) {
+    return attempt_outcome::Lost;
+  }
+  if (aAnswer.mStatus == 421) {
+    return attempt_outcome::WrongInstance;
+  }
+  if (FindField(aAnswer.mFields, mNames.mNotExecuted) != nullptr) {
+    return attempt_outcome::NotExecuted;
+  }
+  const bool isSuccess = aAnswer.mStatus >= 200 && aAnswer.mStatus < 300;
+  if (isSuccess && (FindField(aAnswer.mFields, mNames.mSignature) == nullptr ||
+                    FindField(aAnswer.mFields, "Content-Encoding") != nullptr)) {
+    return attempt_outcome::Lost;
+  }
+  return aAnswer.mStatus >= 500 ? attempt_outcome::Failed : attempt_outcome::Answered;
+}
+
+void entry_gateway::TakeEnd(const exchange_ptr& aExchange, channel_end aEnd, http_reply aAnswer)
+{
+  if (!aExchange->mIsRunning) {
+    return;
+  }
+  aExchange->mIsRunning = false;
+  const instant now = GetBootTime();
+  const attempt_outcome outcome = Classify(aEnd, aAnswer);
+  std::optional<load_report> load;
+  if (const std::string* stated = FindField(aAnswer.mFields, mNames.mLoad)) {
+    load = mDialect->ReadLoad(*stated);
+  }
+  if (aEnd == channel_end::Lost) {
+    SuspectCrash(*aExchange);
+  }
+  const next_step next = mSteering.NoteEnd(aExchange->mTicket,
+                                           aExchange->mPlacement,
+                                           outcome,
+                                           load,
+                                           now - aExchange->mAttemptAt,
+                                           now);
+  if (outcome != attempt_outcome::Answered && mLog.HasRoom(event_rank::Failure, now)) {
+    const std::string* id = FindField(aExchange->mRequest->mQuery.mFields, mNames.mRequestId);
+    mLog.Write("attempt_failed",
+               { { "request", id == nullptr ? std::string() : *id },
+                 { "backend", aExchange->mPlacement.mBackend },
+                 { "address", aExchange->mPlacement.mAddress.mValue },
+                 { "outcome", static_cast<int>(outcome) },
+                 { "status", static_cast<int>(aAnswer.mStatus) },
+                 { "took_us",
+                   static_cast<std::int64_t>((now - aExchange->mAttemptAt).count()) },
+                 { "attempts", aExchange->mTicket.mAttempts },
+                 { "next", static_cast<int>(next) } },
+               now);
+  }
+  switch (next) {
+    case next_step::PassOn:
+      PassOn(aExchange, std::move(aAnswer));
+      return;
+    case next_step::TryAgain:
+      StartAttempt(aExchange);
+      return;
+    case next_step::Refuse:
+      RefuseExchange(aExchange, refusal_reason::Overloaded);
+      return;
+    case next_step::Fail:
+      RefuseExchange(aExchange, refusal_reason::OutcomeUnknown);
+      return;
+  }
+}
+
+void entry_gateway::PassOn(const exchange_ptr& aExchange, http_reply aAnswer)
+{
+  http_fields fields;
+  for (http_field& field : aAnswer.mFields) {
+    if (!IsConnectionField(aAnswer.mFields, field.mName)) {
+      fields.push_back(field);
+    }
+  }
+  aAnswer.mFields = std::move(fields);
+  const instant now = GetBootTime();
+  if (mLog.HasRoom(event_rank::Success, now)) {
+    const std::string* id = FindField(aExchange->mRequest->mQuery.mFields, mNames.mRequestId);
+    mLog.Write("answered",
+               { { "request", id == nullptr ? std::string() : *id },
+                 { "route", aExchange->mTicket.mRoute->mName },
+                 { "backend", aExchange->mPlacement.mBackend },
+                 { "status", static_cast<int>(aAnswer.mStatus) },
+                 { "expected_wait_us",
+                   static_cast<std::int64_t>(aExchange->mPlacement.mExpectedWait.count()) },
+                 { "attempt_us",
+                   static_cast<std::int64_t>((now - aExchange->mAttemptAt).count()) },
+                 { "total_us",
+                   static_cast<std::int64_t>((now - aExchange->mRequest->mReadAt).count()) } },
+               now);
+  }
+  aExchange->mRequest->Respond(aAnswer);
+  Forget(aExchange);
+}
+
+void entry_gateway::Refuse(const std::shared_ptr<inbound_request>& aRequest, refusal_reason aReason)
+{
+  const instant now = GetBootTime();
+  const std::string* id = FindField(aRequest->mQuery.mFields, mNames.mRequestId);
+  if (mLog.HasRoom(event_rank::Failure, now)) {
+    mLog.Write("refused",
+               { { "request", id == nullptr ? std::string() : *id },
+                 { "reason", ToString(aReason) },
+                 { "config",
+                   static_cast<std::uint64_t>(
+                     mSteering.GetConfig() ? mSteering.GetConfig()->GetConfig().mVersion : 0) },
+                 { "fresh_for_us",
+                   static_cast<std::int64_t>((mSteering.GetFreshUntil() - now).count()) },
+                 { "held_us", static_cast<std::int64_t>((now - aRequest->mReadAt).count()) } },
+               now);
+  }
+  http_fields fields;
+  if (id != nullptr) {
+    fields.push_back({ mNames.mRequestId, *id });
+  }
+  const unsigned status = StatusOf(aReason);
+  if (status == 429) {
+    fields.push_back({ "Retry-After", kRateRetryAfter });
+  } else if (status == 503) {
+    fields.push_back({ "Retry-After", kRetryAfter });
+  }
+  aRequest->Respond(
+    MakeAnswer(status, mDialect->WriteError(ToString(aReason)), std::move(fields)));
+}
+
+void entry_gateway::RefuseExchange(const exchange_ptr& aExchange, refusal_reason aReason)
+{
+  Refuse(aExchange->mRequest, aReason);
+  Forget(aExchange);
+}
+
+void entry_gateway::Abandon(const exchange_ptr& aExchange)
+{
+  const instant now = GetBootTime();
+  if (aExchange->mIsRunning) {
+    aExchange->mIsRunning = false;
+    aExchange->mCancel();
+    mSteering.NoteEnd(aExchange->mTicket,
+                      aExchange->mPlacement,
+                      attempt_outcome::Abandoned,
+                      std::nullopt,
+                      now - aExchange->mAttemptAt,
+                      now);
+  }
+  if (mLog.HasRoom(event_rank::Failure, now)) {
+    const std::string* id = FindField(aExchange->mRequest->mQuery.mFields, mNames.mRequestId);
+    mLog.Write("caller_left",
+               { { "request", id == nullptr ? std::string() : *id },
+                 { "backend", aExchange->mPlacement.mBackend },
+                 { "held_us",
+                   static_cast<std::int64_t>((now - aExchange->mRequest->mReadAt).count()) } },
+               now);
+  }
+  Forget(aExchange);
+}
+
+void entry_gateway::CheckDeadlines(instant aNow)
+{
+  std::vector<exchange_ptr> late;
+  for (const exchange_ptr& exchange : mExchanges) {
+    if (exchange->mTicket.mDeadline <= aNow) {
+      late.push_back(exchange);
+    }
+  }
+  for (const exchange_ptr& exchange : late) {
+    if (!mExchanges.contains(exchange)) {
+      continue;
+    }
+    if (exchange->mIsRunning) {
+      exchange->mIsRunning = false;
+      exchange->mCancel();
+      mSteering.NoteEnd(exchange->mTicket,
+                        exchange->mPlacement,
+                        attempt_outcome::TimedOut,
+                        std::nullopt,
+                        aNow - exchange->mAttemptAt,
+                        aNow);
+    }
+    RefuseExchange(exchange, refusal_reason::TimedOut);
+  }
+}
+
+void entry_gateway::SuspectCrash(const exchange& aExchange)
+{
+  const digest fingerprint =
+    GetFingerprint(aExchange.mRequest->mQuery, aExchange.mTicket.mWorkspace);
+  suspicion& suspicion = mSuspicions[aExchange.mPlacement.mAddress];
+  suspicion.mFingerprints.push_back(fingerprint);
+  if (suspicion.mFingerprints.size() > 1) {
+    return;
+  }
+  suspicion.mPlacement = aExchange.mPlacement;
+  // A lost connection alone is no crash: only a backend server that is gone has crashed.
+  mConnector.Probe(suspicion.mPlacement.mAddress,
+                   [this, address = suspicion.mPlacement.mAddress](bool aIsReachable) {
+                     const auto found = mSuspicions.extract(address);
+                     if (found.empty() || aIsReachable) {
+                       return;
+                     }
+                     const placement& place = found.mapped().mPlacement;
+                     const std::string start =
+                       place.mBackend + "/" + std::to_string(place.mStartedAtMs);
+                     for (const digest& one : found.mapped().mFingerprints) {
+                       mSteering.NoteCrash(one, start);
+                     }
+                     mLog.Write("backend_crashed",
+                                { { "backend", start },
+                                  { "address", address.mValue },
+                                  { "requests",
+                                    static_cast<std::uint64_t>(
+                                      found.mapped().mFingerprints.size()) } },
+                                GetBootTime());
+                   });
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/gateway/entry_gateway.h
@@ -0,0 +1,111 @@
+#ifndef CITRONPULLEY_GATEWAY_ENTRY_GATEWAY_H
+#define CITRONPULLEY_GATEWAY_ENTRY_GATEWAY_H
+
+#include "citronpulley/fleet/entry_steering.h"
+#include "citronpulley/gateway/backend_connector.h"
+#include "citronpulley/gateway/control_subscription.h"
+#include "citronpulley/gateway/event_log.h"
+#include "citronpulley/gateway/fleet_bus.h"
+#include "citronpulley/gateway/http_listener.h"
+#include "citronpulley/gateway/wire_dialect.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace citronpulley {
+
+/** Settings of the process on an entry VM. */
+struct entry_gateway_settings
+{
+  std::string mName;
+  entry_steering_settings mSteering;
+  /** Control VMs that were known when the settings were written. */
+  std::vector<vm_name> mControlVms;
+  /** Address at which the platform asks whether this VM is ready. */
+  std::string mReadyAddress;
+  /** Time from the signal to stop to the end. */
+  microseconds mGrace{ 6'000'000 };
+};
+
+/**
+ * Process of an entry VM in direct steering: takes requests of callers, sends each to the backend
+ * server that the steering chooses, and gives the response back. One thread does all of it.
+ */
+class entry_gateway
+{
+public:
+  /** Time between two checks of deadlines while requests run, and while none does. */
+  static constexpr microseconds kBusyTick{ 20'000 };
+  static constexpr microseconds kIdleTick{ 100'000 };
+  /** Parts of the grace period after which new requests are refused, and the process ends. */
+  static constexpr double kRefuseAfter = 0.5;
+  static constexpr double kEndAfter = 0.85;
+  static constexpr double kEndLatest = 0.95;
+
+  entry_gateway(entry_gateway_settings aSettings, std::unique_ptr<wire_dialect> aDialect);
+
+  /** Opens the listeners and runs until the process is told to stop. */
+  status Run();
+
+private:
+  struct exchange;
+  using exchange_ptr = std::shared_ptr<exchange>;
+
+  struct suspicion
+  {
+    placement mPlacement;
+    std::vector<digest> mFingerprints;
+  };
+
+  void TakeRequest(const std::shared_ptr<inbound_request>& aRequest);
+  void StartAttempt(const exchange_ptr& aExchange);
+  channel_query BuildQuery(const exchange& aExchange, instant aNow) const;
+  void TakeEnd(const exchange_ptr& aExchange, channel_end aEnd, http_reply aAnswer);
+  attempt_outcome Classify(channel_end aEnd, const http_reply& aAnswer) const;
+  void PassOn(const exchange_ptr& aExchange, http_reply aAnswer);
+  void Refuse(const std::shared_ptr<inbound_request>& aRequest, refusal_reason aReason);
+  void RefuseExchange(const exchange_ptr& aExchange, refusal_reason aReason);
+  void Abandon(const exchange_ptr& aExchange);
+  void Forget(const exchange_ptr& aExchange) { mExchanges.erase(aExchange); }
+  void CheckDeadlines(instant aNow);
+  void SuspectCrash(const exchange& aExchange);
+  digest GetFingerprint(const http_query& aQuery, const workspace_name& aWorkspace) const;
+  void TakeReadyCall(const std::shared_ptr<inbound_request>& aRequest);
+  void ScheduleTick();
+  void Tick();
+  void WaitForSignal();
+  void BeginStop();
+  void CheckStop(instant aNow);
+
+  entry_gateway_settings mSettings;
+  std::unique_ptr<wire_dialect> mDialect;
+  header_names mNames;
+  boost::asio::io_context mIo{ 1 };
+  event_log mLog;
+  entry_steering mSteering;
+  backend_connector mConnector;
+  std::shared_ptr<http_session_context> mFrontContext;
+  http_listener mFront;
+  http_listener mReady;
+  fleet_bus mBus;
+  control_subscription mSubscription;
+  boost::asio::signal_set mSignals;
+  boost::asio::steady_timer mTimer;
+  std::set<exchange_ptr> mExchanges;
+  std::map<server_name, suspicion> mSuspicions;
+  instant mNextSlowCheckAt;
+  instant mStoppingSince;
+  bool mIsStopping = false;
+};
+
+} // namespace citronpulley
+
+#endif
--- /dev/null
+++ b/src/citronpulley/gateway/gateway_settings.cpp
@@ -0,0 +1,148 @@
+#include "citronpulley/gateway/gateway_settings.h"
+
+#include <charconv>
+#include <cmath>
+#include <stdexcept>
+#include <toml++/toml.h>
+
+namespace citronpulley {
+
+namespace {
+
+/** Margin of a lease below the bound on a withdrawn key, for the way of a request. */
+constexpr microseconds kLeaseMargin{ 200'000 };
+
+/** Fault of one key. */
+class settings_fault : public std::runtime_error
+{
+public:
+  using std::runtime_error::runtime_error;
+};
+
+template<typename Value>
+Value Read(const toml::table& aTable, std::string_view aKey)
+{
+  const toml::node_view<const toml::node> node = aTable.at_path(aKey);
+  const std::optional<Value> value = node.value<Value>();
+  if (!value) {
+    const std::string line =
+      node ? " (line " + std::to_string(node.node()->source().begin.line) + ")" : " (missing)";
+    throw settings_fault("the key " + std::string(aKey) + line + " has no valid value");
+  }
+  return *value;
+}
+
+microseconds ReadTime(const toml::table& aTable, std::string_view aKey, microseconds aDefault)
+{
+  if (!aTable.at_path(aKey)) {
+    return aDefault;
+  }
+  const auto text = Read<std::string>(aTable, aKey);
+  double number = 0;
+  const char* end = text.data() + text.size();
+  const auto [last, code] = std::from_chars(text.data(), end, number);
+  const std::string_view unit(last, static_cast<std::size_t>(end - last));
+  if (code != std::errc{} || number < 0 || (unit != "ms" && unit != "s")) {
+    throw settings_fault("the key " + std::string(aKey) + " is no time such as 1500ms or 2.5s");
+  }
+  return microseconds(std::llround(number * (unit == "s" ? 1e6 : 1e3)));
+}
+
+std::string ReadIp(const toml::table& aTable)
+{
+  return Read<std::string>(aTable, "ip");
+}
+
+/** Control VMs by their internal address; the settings name them by the address for operators. */
+std::vector<vm_name> ReadSeeds(const toml::table& aTable)
+{
+  const std::string port = std::to_string(Read<std::int64_t>(aTable, "internal_port"));
+  std::vector<vm_name> seeds;
+  const toml::array* list = aTable["control_vms"].as_array();
+  if (list == nullptr) {
+    throw settings_fault("the key control_vms is no list");
+  }
+  for (const toml::node& one : *list) {
+    const std::optional<std::string> address = one.value<std::string>();
+    if (!address) {
+      throw settings_fault("the key control_vms holds something else than text");
+    }
+    seeds.emplace_back(address->substr(0, address->rfind(':')) + ":" + port);
+  }
+  return seeds;
+}
+
+vm_name ReadSelf(const toml::table& aTable)
+{
+  return vm_name(ReadIp(aTable) + ":" +
+                 std::to_string(Read<std::int64_t>(aTable, "internal_port")));
+}
+
+microseconds ReadLease(const toml::table& aTable)
+{
+  const microseconds withdrawal =
+    ReadTime(aTable, "bounds.key_withdrawal", microseconds{ 5'000'000 });
+  return std::max(withdrawal - kLeaseMargin, microseconds{ 500'000 });
+}
+
+template<typename Settings, typename Fill>
+result<Settings> ReadFile(const std::string& aPath, const Fill& aFill)
+{
+  try {
+    const toml::table table = toml::parse_file(aPath);
+    Settings settings;
+    aFill(table, settings);
+    return settings;
+  } catch (const toml::parse_error& failure) {
+    return MakeError(error_code::InvalidText,
+                     step::ReadSettings,
+                     aPath + ":" + std::to_string(failure.source().begin.line),
+                     std::string(failure.description()));
+  } catch (const settings_fault& failure) {
+    return MakeError(error_code::InvalidText, step::ReadSettings, aPath, failure.what());
+  }
+}
+
+} // namespace
+
+result<entry_gateway_settings> ReadEntryGatewaySettings(const std::string& aPath)
+{
+  return ReadFile<entry_gateway_settings>(
+    aPath, [](const toml::table& aTable, entry_gateway_settings& aSettings) {
+      aSettings.mName = Read<std::string>(aTable, "vm");
+      entry_place& place = aSettings.mSteering.mPlace;
+      place.mVm = ReadSelf(aTable);
+      place.mZone = zone_name(Read<std::string>(aTable, "zone"));
+      place.mRegion = region_name(Read<std::string>(aTable, "region"));
+      place.mCallerAddress = Read<std::string>(aTable, "caller_address");
+      aSettings.mReadyAddress = Read<std::string>(aTable, "ready_address");
+      aSettings.mControlVms = ReadSeeds(aTable);
+      aSettings.mGrace = ReadTime(aTable, "bounds.grace", aSettings.mGrace);
+      aSettings.mSteering.mLease = ReadLease(aTable);
+      const toml::table* zones = aTable["zones"].as_table();
+      if (zones == nullptr) {
+        throw settings_fault("the table zones is missing");
+      }
+      for (const auto& [zone, region] : *zones) {
+        aSettings.mSteering.mRegions.emplace(zone_name(std::string(zone.str())),
+                                             region_name(region.value_or(std::string())));
+      }
+    });
+}
+
+result<control_gateway_settings> ReadControlGatewaySettings(const std::string& aPath)
+{
+  return ReadFile<control_gateway_settings>(
+    aPath, [](const toml::table& aTable, control_gateway_settings& aSettings) {
+      aSettings.mName = Read<std::string>(aTable, "vm");
+      aSettings.mControl.mSelf = ReadSelf(aTable);
+      aSettings.mControl.mSeeds = ReadSeeds(aTable);
+      aSettings.mControl.mLease = ReadLease(aTable);
+      aSettings.mControlAddress = Read<std::string>(aTable, "control_address");
+      aSettings.mDirectoryAddress = Read<std::string>(aTable, "directory_address");
+      aSettings.mDataFolder = Read<std::string>(aTable, "data_folder");
+      aSettings.mIsFirstStart = Read<bool>(aTable, "first_start");
+    });
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/gateway/http_listener.cpp
@@ -0,0 +1,88 @@
+#include "citronpulley/gateway/http_listener.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+
+namespace citronpulley {
+
+namespace asio = boost::asio;
+
+result<asio::ip::tcp::endpoint> ParseEndpoint(const std::string& aAddress)
+{
+  const std::size_t colon = aAddress.rfind(':');
+  boost::system::error_code error;
+  const asio::ip::address address =
+    asio::ip::make_address(aAddress.substr(0, std::min(colon, aAddress.size())), error);
+  unsigned short port = 0;
+  if (!error && colon != std::string::npos) {
+    const char* end = aAddress.data() + aAddress.size();
+    const auto [last, code] = std::from_chars(aAddress.data() + colon + 1, end, port);
+    if (code == std::errc{} && last == end && port != 0) {
+      return asio::ip::tcp::endpoint(address, port);
+    }
+  }
+  return MakeError(error_code::BadRequest, step::Connect, aAddress, "this is no address IP:port");
+}
+
+http_listener::http_listener(asio::io_context& aIo, std::shared_ptr<http_session_context> aContext)
+  : mAcceptor(aIo)
+  , mContext(std::move(aContext))
+{
+}
+
+status http_listener::Open(const std::string& aAddress)
+{
+  const result<asio::ip::tcp::endpoint> endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    return endpoint.GetError();
+  }
+  boost::system::error_code error;
+  mAcceptor.open(endpoint.Get().protocol(), error);
+  if (!error) {
+    mAcceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    mAcceptor.bind(endpoint.Get(), error);
+  }
+  if (!error) {
+    mAcceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return MakeError(error_code::Internal, step::Connect, aAddress, error.message());
+  }
+  Accept();
+  return std::monostate{};
+}
+
+void http_listener::Accept()
+{
+  mAcceptor.async_accept(
+    [this](const boost::system::error_code& aError, asio::ip::tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError) {
+        mSessions.push_back(std::make_shared<http_session>(std::move(aSocket), mContext));
+        mSessions.back()->Start();
+      }
+      Accept();
+    });
+}
+
+void http_listener::CheckTime(instant aNow)
+{
+  for (const std::shared_ptr<http_session>& session : mSessions) {
+    session->CheckTime(aNow);
+  }
+  mSessions.remove_if(
+    [](const std::shared_ptr<http_session>& aSession) { return aSession->IsClosed(); });
+}
+
+std::size_t http_listener::CountBusy() const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(mSessions, [](const auto& aSession) { return aSession->IsBusy(); }));
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/gateway/http_listener.h
@@ -0,0 +1,48 @@
+#ifndef CITRONPULLEY_GATEWAY_HTTP_LISTENER_H
+#define CITRONPULLEY_GATEWAY_HTTP_LISTENER_H
+
+#include "citronpulley/base/result.h"
+#include "citronpulley/gateway/http_session.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace citronpulley {
+
+/** Accepts connections at one address and keeps their sessions. Not thread-safe. */
+class http_listener
+{
+public:
+  http_listener(boost::asio::io_context& aIo, std::shared_ptr<http_session_context> aContext);
+
+  /** Starts to listen at `IP:port`. */
+  status Open(const std::string& aAddress);
+
+  /** Checks the time limits of all connections. */
+  void CheckTime(instant aNow);
+
+  /** Ends all connections after their present requests; new ones are still accepted. */
+  void BeginStop() { mContext->mIsStopping = true; }
+
+  /** @return connections with a request in progress */
+  std::size_t CountBusy() const;
+
+  std::size_t CountSessions() const noexcept { return mSessions.size(); }
+
+private:
+  void Accept();
+
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  std::shared_ptr<http_session_context> mContext;
+  std::list<std::shared_ptr<http_session>> mSessions;
+};
+
+/** @return the endpoint of an address `IP:port`, or an error */
+result<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& aAddress);
+
+} // namespace citronpulley
+
+#endif
--- /dev/null
+++ b/src/citronpulley/gateway/http_message.cpp
@@ -0,0 +1,154 @@
+#include "citronpulley/gateway/http_message.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <utility>
+
+namespace citronpulley {
+
+namespace {
+
+constexpr std::array<std::string_view, 10> kConnectionFields{
+  "Connection",          "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate",
+  "Proxy-Authorization", "TE",         "Trailer",           "Transfer-Encoding",
+  "Upgrade",             "Content-Length",
+};
+
+constexpr std::array<std::pair<unsigned, std::string_view>, 20> kReasons{ {
+  { 200, "OK" },
+  { 204, "No Content" },
+  { 307, "Temporary Redirect" },
+  { 400, "Bad Request" },
+  { 401, "Unauthorized" },
+  { 403, "Forbidden" },
+  { 404, "Not Found" },
+  { 405, "Method Not Allowed" },
+  { 408, "Request Timeout" },
+  { 409, "Conflict" },
+  { 412, "Precondition Failed" },
+  { 413, "Payload Too Large" },
+  { 421, "Misdirected Request" },
+  { 422, "Unprocessable Entity" },
+  { 429, "Too Many Requests" },
+  { 431, "Request Header Fields Too Large" },
+  { 500, "Internal Server Error" },
+  { 502, "Bad Gateway" },
+  { 503, "Service Unavailable" },
+  { 504, "Gateway Timeout" },
+} };
+
+bool HasBodyMethod(std::string_view aMethod)
+{
+  return aMethod == "POST" || aMethod == "PUT" || aMethod == "PATCH";
+}
+
+void AppendFields(std::string& aText, const http_fields& aFields)
+{
+  for (const http_field& field : aFields) {
+    aText.append(field.mName).append(": ").append(field.mValue).append("\r\n");
+  }
+}
+
+} // namespace
+
+bool IsSameName(std::string_view aLeft, std::string_view aRight) noexcept
+{
+  return std::ranges::equal(aLeft, aRight, [](unsigned char aOne, unsigned char aOther) {
+    return std::tolower(aOne) == std::tolower(aOther);
+  });
+}
+
+const std::string* FindField(const http_fields& aFields, std::string_view aName) noexcept
+{
+  const auto found = std::ranges::find_if(
+    aFields, [aName](const http_field& aField) { return IsSameName(aField.mName, aName); });
+  return found == aFields.end() ? nullptr : &found->mValue;
+}
+
+bool IsConnectionField(const http_fields& aFields, std::string_view aName) noexcept
+{
+  if (std::ranges::any_of(kConnectionFields,
+                          [aName](std::string_view aOne) { return IsSameName(aOne, aName); })) {
+    return true;
+  }
+  const std::string* named = FindField(aFields, "Connection");
+  if (named == nullptr) {
+    return false;
+  }
+  std::string_view rest = *named;
+  while (!rest.empty()) {
+    const std::size_t end = rest.find(',');
+    std::string_view token = rest.substr(0, end);
+    token.remove_prefix(std::min(token.find_first_not_of(" \t"), token.size()));
+    token = token.substr(0, token.find_last_not_of(" \t") + 1);
+    if (IsSameName(token, aName)) {
+      return true;
+    }
+    rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
+  }
+  return false;
+}
+
+std::string_view http_query::GetPath() const noexcept
+{
+  return std::string_view(mTarget).substr(0, mTarget.find('?'));
+}
+
+http_reply MakeAnswer(unsigned aStatus, std::string aBody, http_fields aFields)
+{
+  http_reply answer;
+  answer.mStatus = aStatus;
+  answer.mReason = GetReason(aStatus);
+  answer.mFields = std::move(aFields);
+  if (!aBody.empty()) {
+    answer.mFields.push_back({ "Content-Type", "application/json" });
+  }
+  answer.mBody = std::move(aBody);
+  return answer;
+}
+
+std::string_view GetReason(unsigned aStatus) noexcept
+{
+  const auto found = std::ranges::find(kReasons, aStatus, &decltype(kReasons)::value_type::first);
+  return found == kReasons.end() ? std::string_view("Unknown") : found->second;
+}
+
+std::string WriteQuery(std::string_view aMethod,
+                       std::string_view aTarget,
+                       const http_fields& aFields,
+                       std::string_view aBody)
+{
+  std::string text;
+  text.reserve(512 + aBody.size());
+  text.append(aMethod).append(" ").append(aTarget).append(" HTTP/1.1\r\n");
+  AppendFields(text, aFields);
+  if (!aBody.empty() || HasBodyMethod(aMethod)) {
+    text.append("Content-Length: ").append(std::to_string(aBody.size())).append("\r\n");
+  }
+  text.append("\r\n").append(aBody);
+  return text;
+}
+
+std::string WriteAnswer(const http_reply& aAnswer, bool aIsHead, bool aCloses)
+{
+  std::string text;
+  text.reserve(512 + aAnswer.mBody.size());
+  text.append("HTTP/1.1 ").append(std::to_string(aAnswer.mStatus)).append(" ");
+  text.append(aAnswer.mReason).append("\r\n");
+  AppendFields(text, aAnswer.mFields);
+  const bool hasBody = aAnswer.mStatus >= 200 && aAnswer.mStatus != 204 && aAnswer.mStatus != 304;
+  if (hasBody) {
+    text.append("Content-Length: ").append(std::to_string(aAnswer.mBody.size())).append("\r\n");
+  }
+  if (aCloses) {
+    text.append("Connection: close\r\n");
+  }
+  text.append("\r\n");
+  if (hasBody && !aIsHead) {
+    text.append(aAnswer.mBody);
+  }
+  return text;
+}
+
+} // namespace citronpulley
--- /dev/null
+++ b/src/citronpulley/gateway/http_session.cpp
@@ -0,0 +1,293 @@
+#include "citronpulley/gateway/http_session.h"
+
+#include "citronpulley/gateway/clock.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <utility>
+
+namespace citronpulley {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 4'096;
+
+unsigned StatusOf(const beast::error_code& aError)
+{
+  if (aError == http::error::header_limit) {
+    return 431;
+  }
+  if (aError == http::error::body_limit) {
+    return 413;
+  }
+  return 400;
+}
+
+http_query ToQuery(http::request<http::string_body>&& aMessage)
+{
+  http_query query;
+  query.mMethod = std::string(aMessage.method_string());
+  query.mTarget = std::string(aMessage.target());
+  for (const auto& field : aMessage) {
+    query.mFields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+  }
+  query.mBody = std::move(aMessage.body());
+  return query;
+}
+
+} // namespace
+
+void inbound_request::Respond(const http_reply& aAnswer)
+{
+  const std::shared_ptr<http_session> session = mSession.lock();
+  if (mIsSettled || !session) {
+    return;
+  }
+  mIsSettled = true;
+  mOnAbandoned = {};
+  // The session adds the end of the connection, so that it is decided when the response is sent.
+  mWire = WriteAnswer(aAnswer, mQuery.mMethod == "HEAD", false);
+  session->Flush();
+}
+
+void inbound_request::Break()
+{
+  const std::shared_ptr<http_session> session = mSession.lock();
+  if (!mIsSettled && session) {
+    session->Close();
+  }
+}
+
+struct http_session::parser_state
+{
+  beast::flat_buffer mBuffer;
+  std::optional<http::request_parser<http::string_body>> mMessage;
+  bool mHasContinued = false;
+  bool mWantsClose = false;
+};
+
+http_session::http_session(asio::ip::tcp::socket aSocket,
+                           std::shared_ptr<http_session_context> aContext)
+  : mSocket(std::move(aSocket))
+  , mContext(std::move(aContext))
+  , mParser(std::make_unique<parser_state>())
+  , mActiveAt(GetBootTime())
+{
+}
+
+http_session::~http_session() = default;
+
+void http_session::Start()
+{
+  beast::error_code ignored;
+  mSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  Read();
+}
+
+void http_session::Read()
+{
+  if (mIsReading || mIsClosed || mQueue.size() >= kMaxPipelined) {
+    return;
+  }
+  mIsReading = true;
+  mSocket.async_read_some(
+    mParser->mBuffer.prepare(kReadBytes),
+    [self = shared_from_this()](const beast::error_code& aError, std::size_t aBytes) {
+      self->mIsReading = false;
+      if (self->mIsClosed) {
+        return;
+      }
+      if (aError) {
+        self->Close();
+        return;
+      }
+      if (!self->mIsFinal) {
+        self->mParser->mBuffer.commit(aBytes);
+        self->mActiveAt = GetBootTime();
+        self->TakeBytes();
+      }
+      self->Read();
+    });
+}
+
+void http_session::TakeBytes()
+{
+  while (!mIsEnding && !mIsClosed && mParser->mBuffer.size() > 0 &&
+         mQueue.size() < kMaxPipelined && ParseOne()) {
+  }
+}
+
+bool http_session::ParseOne()
+{
+  parser_state& state = *mParser;
+  if (!state.mMessage) {
+    const caller_limits limits = mContext->mLimits();
+    state.mMessage.emplace();
+    state.mMessage->eager(true);
+    state.mMessage->header_limit(limits.mMaxHeaderBytes);
+    state.mMessage->body_limit(limits.mMaxBodyBytes);
+    state.mHasContinued = false;
+    mMessageSince = mActiveAt;
+  }
+  beast::error_code error;
+  const std::size_t used = state.mMessage->put(state.mBuffer.data(), error);
+  state.mBuffer.consume(used);
+  if (error && error != http::error::need_more) {
+    RejectBytes(StatusOf(error));
+    return false;
+  }
+  if (!state.mMessage->is_done()) {
+    const bool isAwaited = state.mMessage->is_header_done() && !state.mHasContinued &&
+                           state.mMessage->get()[http::field::expect] == "100-continue";
+    if (isAwaited && mQueue.empty() && !mIsWriting) {
+      state.mHasContinued = true;
+      mOut = "HTTP/1.1 100 Continue\r\n\r\n";
+      Write();
+    }
+    return used > 0 && state.mBuffer.size() > 0 && !error;
+  }
+  state.mWantsClose = !state.mMessage->get().keep_alive();
+  mIsEnding = state.mWantsClose;
+  auto request = std::make_shared<inbound_request>(
+    weak_from_this(), ToQuery(state.mMessage->release()), mActiveAt);
+  state.mMessage.reset();
+  mQueue.push_back(request);
+  mContext->mOnRequest(request);
+  return true;
+}
+
+void http_session::RejectBytes(unsigned aStatus)
+{
+  mIsEnding = true;
+  mParser->mBuffer.consume(mParser->mBuffer.size());
+  mParser->mMessage.reset();
+  auto request = std::make_shared<inbound_request>(weak_from_this(), http_query{}, mActiveAt);
+  mQueue.push_back(request);
+  request->Respond(MakeAnswer(aStatus));
+}
+
+void http_session::Flush()
+{
+  if (mIsWriting || mIsClosed) {
+    return;
+  }
+  while (!mQueue.empty() && mQueue.front()->mIsSettled) {
+    std::string wire = std::move(mQueue.front()->mWire);
+    mQueue.pop_front();
+    const bool isPartial = mParser->mMessage.has_value() || mParser->mBuffer.size() > 0;
+    // Only the last response may end the connection: requests behind it may be running.
+    const bool isLast = mQueue.empty() && (mIsEnding || (mContext->mIsStopping && !isPartial));
+    if (isLast) {
+      wire.insert(wire.find("\r\n\r\n") + 2, "Connection: close\r\n");
+      mIsEnding = true;
+      mIsFinal = true;
+    }
+    mOut += wire;
+  }
+  if (!mOut.empty()) {
+    Write();
+  }
+}
+
+void http_session::Write()
+{
+  mIsWriting = true;
+  mActiveAt = GetBootTime();
+  asio::async_write(
+    mSocket,
+    asio::buffer(mOut),
+    [self = shared_from_this()](const beast::error_code& aError, std::size_t) {
+      self->mIsWriting = false;
+      self->mOut.clear();
+      if (self->mIsClosed) {
+        return;
+      }
+      if (aError) {
+        self->Close();
+        return;
+      }
+      self->FinishWriting();
+    });
+}
+
+void http_session::FinishWriting()
+{
+  mActiveAt = GetBootTime();
+  if (mIsFinal && mQueue.empty()) {
+    beast::error_code ignored;
+    mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    mCloseAt = mActiveAt + kLinger;
+    // Bytes that are left would reset the connection and destroy the response on its way.
+    mParser->mBuffer.consume(mParser->mBuffer.size());
+    Read();
+    return;
+  }
+  Flush();
+  if (!mIsWriting) {
+    TakeBytes();
+    Read();
+  }
+}
+
+void http_session::CheckTime(instant aNow)
+{
+  if (mIsClosed) {
+    return;
+  }
+  if (mIsFinal && !mIsWriting) {
+    if (mCloseAt <= aNow) {
+      Close();
+    }
+    return;
+  }
+  const caller_limits limits = mContext->mLimits();
+  if (mIsWriting) {
+    if (mActiveAt + kTransferTimeout <= aNow) {
+      Close();
+    }
+    return;
+  }
+  if (mParser->mMessage) {
+    const bool isHeaderLate = !mParser->mMessage->is_header_done() &&
+                              mMessageSince + limits.mHeaderTimeout <= aNow;
+    if (isHeaderLate || mActiveAt + kTransferTimeout <= aNow) {
+      RejectBytes(408);
+    }
+    return;
+  }
+  if (mQueue.empty() && mActiveAt + limits.mIdleTimeout <= aNow) {
+    Close();
+  }
+}
+
+void http_session::Close()
+{
+  if (mIsClosed) {
+    return;
+  }
+  mIsClosed = true;
+  beast::error_code ignored;
+  mSocket.close(ignored);
+  Abandon();
+}
+
+void http_session::Abandon()
+{
+  for (const std::shared_ptr<inbound_request>& request : std::exchange(mQueue, {})) {
+    if (!request->mIsSettled) {
+      request->mIsSettled = true;
+      if (request->mOnAbandoned) {
+        std::exchange(request->mOnAbandoned, {})();
+      }
+    }
+  }
+}
+
+} // namespace citronpulley
--- a/src/citronpulley/limits/retry_budget.cpp
+++ b/src/citronpulley/limits/retry_budget.cpp
@@ -6,13 +6,13 @@
 
 void retry_budget::CountRequest(const service_name& aService)
 {
-  double& tokens = mTokens.try_emplace(aService, kMaxTokens).first->second;
-  tokens = std::min(kMaxTokens, tokens + kRetriesPerRequest);
+  double& tokens = mTokens.try_emplace(aService, mMaxTokens).first->second;
+  tokens = std::min(mMaxTokens, tokens + mRetriesPerRequest);
 }
 
 bool retry_budget::TrySpend(const service_name& aService)
 {
-  double& tokens = mTokens.try_emplace(aService, kMaxTokens).first->second;
+  double& tokens = mTokens.try_emplace(aService, mMaxTokens).first->second;
   if (tokens < 1) {
     return false;
   }
--- a/src/citronpulley/limits/retry_budget.h
+++ b/src/citronpulley/limits/retry_budget.h
@@ -21,6 +21,17 @@
    * with few requests retry at all. */
   static constexpr double kMaxTokens = 10;
 
+  /**
+   * @param aRetriesPerRequest retries that each request adds
+   * @param aMaxTokens largest budget of a service
+   */
+  explicit retry_budget(double aRetriesPerRequest = kRetriesPerRequest,
+                        double aMaxTokens = kMaxTokens) noexcept
+    : mRetriesPerRequest(aRetriesPerRequest)
+    , mMaxTokens(aMaxTokens)
+  {
+  }
+
   /** Counts a request of a caller; call it once for each, not for its retries. */
   void CountRequest(const service_name& aService);
 
@@ -28,6 +39,8 @@
   bool TrySpend(const service_name& aService);
 
 private:
+  double mRetriesPerRequest;
+  double mMaxTokens;
   std::map<service_name, double> mTokens;
 };
 
--- /dev/null
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -0,0 +1,373 @@
+#include "citronpulley/steering/backend_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <utility>
+
+namespace citronpulley {
+
+namespace {
+
+/** Cost of the way to another zone of the region, including the price of its bytes. */
+constexpr double kOtherZoneUs = 15'000;
+/** Cost of the way to another region and back. */
+constexpr double kOtherRegionUs = 45'000;
+/** Largest cost that is accepted to reach the backend server that knows a key best. */
+constexpr double kAffinityUs = 60'000;
+/** Cost of a request that fails and is sent again or reported. */
+constexpr double kFailureUs = 400'000;
+/** A failure of a request that may not be repeated reaches its caller. */
+constexpr double kFinalFailureUs = 1'000'000;
+/** Service time of a service without any response yet. */
+constexpr double kDefaultServiceTimeUs = 150'000;
+/** Weight of one response in the means. */
+constexpr double kMeanWeight = 0.1;
+constexpr double kFailureWeight = 0.15;
+/** Time in which an unused judgement of failures halves, so that a backend server is tried again. */
+constexpr double kFailureHalfLifeUs = 4'000'000;
+/** Time in which the part of a load report that this VM did not cause loses most of its meaning. */
+constexpr double kReportLifeUs = 1'000'000;
+/** First and longest pause after failed connections. */
+constexpr microseconds kFirstPause{ 400'000 };
+constexpr int kMaxPauseDoublings = 3;
+/** Backend servers of a zone that is taken back count as cold until they say otherwise. */
+constexpr microseconds kTakenBackWarmup{ 2'000'000 };
+/** Steps of the part that leaves the region: 6% a second keeps two seconds under 15%. */
+constexpr microseconds kSpillInterval{ 250'000 };
+constexpr double kSpillStep = 0.015;
+/** Utilisation of the home region above which, and below which, the part changes. */
+constexpr double kSpillAbove = 0.85;
+constexpr double kSpillBelow = 0.65;
+/** Utilisation of the other regions up to which they take more. */
+constexpr double kSpillRoom = 0.75;
+
+double HashUnit(const std::string& aOne, const std::string& aOther)
+{
+  // FNV-1a with a final mix: cheap, and the same at every VM.
+  std::uint64_t hash = 1'469'598'103'934'665'603ULL;
+  for (const std::string* text : { &aOne, &aOther }) {
+    for (const char letter : *text) {
+      hash = (hash ^ static_cast<unsigned char>(letter)) * 1'099'511'628'211ULL;
+    }
+    hash = (hash ^ 0xFFU) * 1'099'511'628'211ULL;
+  }
+  hash ^= hash >> 33U;
+  hash *= 0xff51afd7ed558ccdULL;
+  hash ^= hash >> 33U;
+  return static_cast<double>(hash >> 11U) * 0x1.0p-53;
+}
+
+bool Allows(const std::vector<region_name>& aRegions, const region_name& aRegion)
+{
+  return aRegions.empty() || std::ranges::find(aRegions, aRegion) != aRegions.end();
+}
+
+} // namespace
+
+backend_pool::backend_pool(zone_name aZone, std::map<zone_name, region_name> aRegions)
+  : mZone(std::move(aZone))
+  , mRegions(std::move(aRegions))
+{
+  mRegion = mRegions[mZone];
+}
+
+void backend_pool::Update(const backend_record& aRecord, instant aNow)
+{
+  const auto [place, isNew] = mBackends.try_emplace(aRecord.mId);
+  backend& backend = place->second;
+  if (!isNew && (backend.mRecord.mStartedAtMs != aRecord.mStartedAtMs ||
+                 backend.mRecord.mAddress != aRecord.mAddress ||
+                 backend.mRecord.mService != aRecord.mService)) {
+    Forget(backend);
+    const double own = backend.mOwn;
+    backend = {};
+    // Requests to the former start still end one by one.
+    backend.mOwn = own;
+  }
+  if (backend.mRecord.mId.empty()) {
+    mServices[aRecord.mService].mBackends.push_back(aRecord.mId);
+  }
+  backend.mRecord = aRecord;
+  const auto region = mRegions.find(aRecord.mZone);
+  backend.mRegion = region == mRegions.end() ? region_name{} : region->second;
+  backend.mColdUntil = aNow + microseconds(aRecord.mWarmupLeftMs * 1'000);
+}
+
+void backend_pool::Forget(const backend& aBackend)
+{
+  std::erase(mServices[aBackend.mRecord.mService].mBackends, aBackend.mRecord.mId);
+}
+
+void backend_pool::KeepOnly(const std::set<std::string>& aBackends)
+{
+  std::erase_if(mBackends, [&](const auto& aEntry) {
+    if (aBackends.contains(aEntry.first)) {
+      return false;
+    }
+    Forget(aEntry.second);
+    return true;
+  });
+}
+
+void backend_pool::Remove(const std::string& aBackend)
+{
+  const auto found = mBackends.find(aBackend);
+  if (found != mBackends.end()) {
+    Forget(found->second);
+    mBackends.erase(found);
+  }
+}
+
+void backend_pool::SetEvacuatedZones(std::set<zone_name> aZones, instant aNow)
+{
+  for (const zone_name& zone : mEvacuatedZones) {
+    if (aZones.contains(zone)) {
+      continue;
+    }
+    for (auto& [id, backend] : mBackends) {
+      if (backend.mRecord.mZone == zone) {
+        backend.mColdUntil = std::max(backend.mColdUntil, aNow + kTakenBackWarmup);
+      }
+    }
+  }
+  mEvacuatedZones = std::move(aZones);
+}
+
+void backend_pool::SetWarmupRates(std::map<std::string, double> aRates)
+{
+  mWarmupRates = std::move(aRates);
+}
+
+double backend_pool::EstimateLoad(const backend& aBackend, instant aNow)
+{
+  if (!aBackend.mHasReport) {
+    return aBackend.mOwn;
+  }
+  const double others =
+    std::max(0.0, aBackend.mLoad.mRunning + aBackend.mLoad.mWaiting - aBackend.mOwnAtReport);
+  const double age = static_cast<double>((aNow - aBackend.mReportedAt).count());
+  return aBackend.mOwn + others * std::exp(-age / kReportLifeUs);
+}
+
+double backend_pool::GetFailureRate(const backend& aBackend, instant aNow)
+{
+  const double age = static_cast<double>((aNow - aBackend.mJudgedAt).count());
+  return aBackend.mFailureRate * std::exp2(-age / kFailureHalfLifeUs);
+}
+
+bool backend_pool::IsUsable(const backend& aBackend,
+                            const placement_request& aRequest,
+                            instant aNow) const
+{
+  const backend_record& record = aBackend.mRecord;
+  if (record.mIsLeaving || mEvacuatedZones.contains(record.mZone) ||
+      !Allows(aRequest.mRouteRegions, aBackend.mRegion) ||
+      !Allows(aRequest.mWorkspaceRegions, aBackend.mRegion) ||
+      std::ranges::find(aRequest.mExcluded, record.mId) != aRequest.mExcluded.end()) {
+    return false;
+  }
+  if (aNow < aBackend.mEjectedUntil || (aBackend.mConsecutiveFailures > 0 && aBackend.mIsOnTrial)) {
+    return false;
+  }
+  if (aNow < aBackend.mColdUntil) {
+    return mWarmupRates.contains(record.mId) && aBackend.mNextWarmupAt <= aNow;
+  }
+  return true;
+}
+
+double backend_pool::GetScore(const backend& aBackend,
+                              const service& aService,
+                              const placement_request& aRequest,
+                              instant aNow) const
+{
+  const double mean =
+    aService.mServiceTimeUs > 0 ? aService.mServiceTimeUs : kDefaultServiceTimeUs;
+  const double slots = std::max(1.0, static_cast<double>(aBackend.mRecord.mSlots));
+  const double load = EstimateLoad(aBackend, aNow);
+  double score = std::max(0.0, load + 1 - slots) / slots * mean;
+  // Below saturation, a fuller backend server is a little worse: its queue forms sooner.
+  score += load / slots * mean * 0.2;
+  if (aBackend.mRegion != mRegion) {
+    score += kOtherRegionUs;
+  } else if (aBackend.mRecord.mZone != mZone) {
+    score += kOtherZoneUs;
+  }
+  score += GetFailureRate(aBackend, aNow) *
+           (aRequest.mIsIdempotent ? kFailureUs : kFinalFailureUs);
+  // A single backend server far slower than its peers is slow itself; less is noise.
+  score += std::max(0.0, aBackend.mServiceTimeUs - 2 * mean);
+  if (aRequest.mAffinityKey) {
+    score += HashUnit(*aRequest.mAffinityKey, aBackend.mRecord.mId) * kAffinityUs;
+  }
+  return score;
+}
+
+const backend_pool::backend* backend_pool::FindBest(const service& aService,
+                                                    const placement_request& aRequest,
+                                                    bool aIsHome,
+                                                    instant aNow) const
+{
+  const backend* best = nullptr;
+  double bestScore = 0;
+  for (const std::string& id : aService.mBackends) {
+    const backend& candidate = mBackends.at(id);
+    if ((candidate.mRegion == mRegion) != aIsHome || !IsUsable(candidate, aRequest, aNow)) {
+      continue;
+    }
+    const double score = GetScore(candidate, aService, aRequest, aNow);
+    if (best == nullptr || score < bestScore) {
+      best = &candidate;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+bool backend_pool::IsSpilled(const service& aService, const placement_request& aRequest)
+{
+  if (aService.mSpill <= 0) {
+    return false;
+  }
+  // The same keys leave the region at every VM, so that few backend servers elsewhere learn them.
+  if (aRequest.mAffinityKey) {
+    return HashUnit(*aRequest.mAffinityKey, mRegion.mValue) < aService.mSpill;
+  }
+  const auto spilled = static_cast<std::uint64_t>(static_cast<double>(++mChoices) * aService.mSpill);
+  return spilled != static_cast<std::uint64_t>(static_cast<double>(mChoices - 1) * aService.mSpill);
+}
+
+std::optional<placement> backend_pool::Choose(const placement_request& aRequest, instant aNow)
+{
+  const auto service = mServices.find(aRequest.mService);
+  if (service == mServices.end()) {
+    return std::nullopt;
+  }
+  const bool isHome = !IsSpilled(service->second, aRequest);
+  const backend* best = FindBest(service->second, aRequest, isHome, aNow);
+  if (best == nullptr) {
+    best = FindBest(service->second, aRequest, !isHome, aNow);
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  const double mean =
+    service->second.mServiceTimeUs > 0 ? service->second.mServiceTimeUs : kDefaultServiceTimeUs;
+  const double slots = std::max(1.0, static_cast<double>(best->mRecord.mSlots));
+  const double wait = std::max(0.0, EstimateLoad(*best, aNow) + 1 - slots) / slots * mean;
+  return placement{ best->mRecord.mId,
+                    best->mRecord.mStartedAtMs,
+                    best->mRecord.mAddress,
+                    best->mRecord.mZone,
+                    best->mRegion,
+                    microseconds(static_cast<microseconds::rep>(wait)),
+                    microseconds(static_cast<microseconds::rep>(mean)) };
+}
+
+void backend_pool::NoteSent(const std::string& aBackend, instant aNow)
+{
+  const auto found = mBackends.find(aBackend);
+  if (found == mBackends.end()) {
+    return;
+  }
+  backend& backend = found->second;
+  backend.mOwn += 1;
+  backend.mIsOnTrial = backend.mConsecutiveFailures > 0;
+  const auto rate = mWarmupRates.find(aBackend);
+  if (aNow < backend.mColdUntil && rate != mWarmupRates.end() && rate->second > 0) {
+    backend.mNextWarmupAt =
+      aNow + microseconds(static_cast<microseconds::rep>(1'000'000 / rate->second));
+  }
+}
+
+void backend_pool::NoteEnd(const std::string& aBackend,
+                           attempt_outcome aOutcome,
+                           const std::optional<load_report>& aLoad,
+                           microseconds aTook,
+                           instant aNow)
+{
+  const auto found = mBackends.find(aBackend);
+  if (found == mBackends.end()) {
+    return;
+  }
+  backend& backend = found->second;
+  backend.mOwn = std::max(0.0, backend.mOwn - 1);
+  backend.mIsOnTrial = false;
+  if (aLoad) {
+    backend.mLoad = *aLoad;
+    backend.mOwnAtReport = backend.mOwn;
+    backend.mReportedAt = aNow;
+    backend.mHasReport = true;
+  }
+  if (aOutcome == attempt_outcome::Abandoned) {
+    return;
+  }
+  if (aOutcome == attempt_outcome::WrongInstance) {
+    backend.mRecord.mIsLeaving = true;
+    return;
+  }
+  if (aOutcome == attempt_outcome::NotSent) {
+    const int doublings = std::min(backend.mConsecutiveFailures++, kMaxPauseDoublings);
+    backend.mEjectedUntil = aNow + kFirstPause * (1 << doublings);
+    return;
+  }
+  if (aOutcome != attempt_outcome::Lost && aOutcome != attempt_outcome::TimedOut) {
+    backend.mConsecutiveFailures = 0;
+  }
+  const bool isFull = aOutcome == attempt_outcome::NotExecuted && aLoad &&
+                      aLoad->mRunning + aLoad->mWaiting >= aLoad->mSlots;
+  const double failure = aOutcome == attempt_outcome::Answered || isFull ? 0 : 1;
+  backend.mFailureRate =
+    GetFailureRate(backend, aNow) * (1 - kFailureWeight) + failure * kFailureWeight;
+  backend.mJudgedAt = aNow;
+  if (aOutcome == attempt_outcome::Answered || aOutcome == attempt_outcome::TimedOut) {
+    service& service = mServices[backend.mRecord.mService];
+    const auto took = static_cast<double>(aTook.count());
+    const auto fold = [took](double& aMean) {
+      aMean = aMean == 0 ? took : aMean * (1 - kMeanWeight) + took * kMeanWeight;
+    };
+    fold(backend.mServiceTimeUs);
+    fold(service.mServiceTimeUs);
+  }
+}
+
+double backend_pool::GetUtilisation(const service& aService, bool aIsHome, instant aNow) const
+{
+  double load = 0;
+  double slots = 0;
+  for (const std::string& id : aService.mBackends) {
+    const backend& backend = mBackends.at(id);
+    const bool isOut = backend.mRecord.mIsLeaving || aNow < backend.mEjectedUntil ||
+                       aNow < backend.mColdUntil || mEvacuatedZones.contains(backend.mRecord.mZone);
+    if ((backend.mRegion == mRegion) != aIsHome || isOut) {
+      continue;
+    }
+    load += EstimateLoad(backend, aNow);
+    slots += backend.mRecord.mSlots;
+  }
+  return slots > 0 ? load / slots : 1;
+}
+
+void backend_pool::AdaptSpill(instant aNow)
+{
+  if (aNow < mNextSpillAt) {
+    return;
+  }
+  mNextSpillAt = aNow + kSpillInterval;
+  for (auto& [name, service] : mServices) {
+    const double home = GetUtilisation(service, true, aNow);
+    if (home > kSpillAbove && GetUtilisation(service, false, aNow) < kSpillRoom) {
+      service.mSpill = std::min(1.0, service.mSpill + kSpillStep);
+    } else if (home < kSpillBelow) {
+      service.mSpill = std::max(0.0, service.mSpill - kSpillStep);
+    }
+  }
+}
+
+double backend_pool::GetSpill(const service_name& aService) const
+{
+  const auto found = mServices.find(aService);
+  return found == mServices.end() ? 0 : found->second.mSpill;
+}
+
+} // namespace citronpulley
