Lend the rates of workspaces in tokens, and place requests by affinity before anything else

Cause: shares of a small workspace's rate held less than one token an entry VM, so 5% of the owed requests got 429; keys spread over targets, so a quarter of the runs was cold. Ruled out: spill between regions as the cause of cold runs (a smoothed signal changed nothing); what runs elsewhere belongs to workspaces with home regions. Change: a ledger at the leader lends tokens ahead of the requests and takes too many back; the affinity term is above any queue; the share that leaves a region follows smoothed use and returns slowly.

--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -63,8 +63,8 @@
   report.mConfig = mConfig ? mConfig->GetConfig().mVersion : 0;
   report.mListEpoch = mListEpoch;
   report.mListRevision = mListRevision;
-  for (const auto& [name, rate] : mMeter.ListDemands(aNow)) {
-    report.mDemands.push_back({ name, rate });
+  for (const workspace_meter::account_report& account : mMeter.Report(aNow)) {
+    report.mDemands.push_back({ account.mWorkspace, account.mDemand, account.mTokens });
   }
   report.mCrashes = std::exchange(mCrashes, {});
   return report;
@@ -93,8 +93,9 @@
                          aSentAt - microseconds(aUpdate.mProofAge) + mSettings.mLease);
   mPool.SetEvacuatedZones({ aUpdate.mEvacuatedZones.begin(), aUpdate.mEvacuatedZones.end() }, aNow);
   TakeBackends(aUpdate, aNow);
-  for (const workspace_share& share : aUpdate.mShares) {
-    mMeter.SetShare(share.mWorkspace, share.mRate, share.mBurst, aNow);
+  mMeter.NoteAnswer(aNow);
+  for (const workspace_grant& grant : aUpdate.mGrants) {
+    mMeter.Grant(grant.mWorkspace, grant.mTokens, grant.mSilentRate, grant.mMost);
   }
   std::map<std::string, double> rates;
   for (const warmup_permit& permit : aUpdate.mPermits) {
--- a/src/citronpulley/fleet/fleet_control.cpp
+++ b/src/citronpulley/fleet/fleet_control.cpp
@@ -64,11 +64,11 @@
   , mGroup(MakeGroupSettings(mSettings), std::move(aRecovered), aSeed, aNow)
   , mEpoch(aSeed | 1U)
   , mBackends(mEpoch)
-  , mEntries(mSettings.mLease)
+  , mLedger(mSettings.mQuota, mSettings.mLease)
 {
   LearnControlVms(mSettings.mSeeds);
   fleet_actions ignored;
-  RefreshConfig(ignored);
+  RefreshConfig(aNow, ignored);
 }
 
 void fleet_control::Tick(instant aNow, fleet_actions& aActions)
@@ -192,7 +192,7 @@
   aActions.emplace_back(std::move(aBatch));
 }
 
-void fleet_control::DoOne(apply_entry& aApply, instant, fleet_actions& aActions)
+void fleet_control::DoOne(apply_entry& aApply, instant aNow, fleet_actions& aActions)
 {
   const log_entry& entry = aApply.mEntry;
   std::optional<fleet_outcome> outcome;
@@ -207,7 +207,7 @@
     const result<fleet_command> decoded = DecodeFleetCommand(entry.mPayload);
     if (decoded) {
       outcome = mState.Apply(entry.mIndex, decoded.Get());
-      NoteChange(decoded.Get(), *outcome, aActions);
+      NoteChange(decoded.Get(), *outcome, aNow, aActions);
     } else {
       aActions.emplace_back(fleet_event{ "command_unreadable",
                                          { { "index", std::to_string(entry.mIndex) },
@@ -224,7 +224,7 @@
   }
 }
 
-void fleet_control::DoOne(install_state& aInstall, instant, fleet_actions& aActions)
+void fleet_control::DoOne(install_state& aInstall, instant aNow, fleet_actions& aActions)
 {
   result<fleet_state> state = fleet_state::Decode(aInstall.mSnapshot.mState);
   if (!state) {
@@ -234,7 +234,7 @@
     return;
   }
   mState = std::move(state.Get());
-  RefreshConfig(aActions);
+  RefreshConfig(aNow, aActions);
 }
 
 void fleet_control::DoOne(read_ready& aReady, instant, fleet_actions&)
@@ -272,6 +272,7 @@
 
 void fleet_control::NoteChange(const fleet_command& aCommand,
                                fleet_outcome aOutcome,
+                               instant aNow,
                                fleet_actions& aActions)
 {
   const std::string index = std::to_string(mState.GetIndex());
@@ -280,7 +281,7 @@
                                                                     : "not_newer";
   std::visit(overloaded{
                [&](const put_config& aPut) {
-                 RefreshConfig(aActions);
+                 RefreshConfig(aNow, aActions);
                  aActions.emplace_back(
                    fleet_event{ "config",
                                 { { "version", std::to_string(aPut.mVersion) },
@@ -306,7 +307,7 @@
              aCommand);
 }
 
-void fleet_control::RefreshConfig(fleet_actions& aActions)
+void fleet_control::RefreshConfig(instant aNow, fleet_actions& aActions)
 {
   if (mState.GetVersion() == 0 || mConfig.mVersion == mState.GetVersion()) {
     return;
@@ -314,6 +315,7 @@
   result<traffic_config> config = mReader(mState.GetText());
   if (config) {
     mConfig = std::move(config.Get());
+    mLedger.SetRules(mConfig.mWorkspaces, aNow);
     return;
   }
   aActions.emplace_back(
@@ -449,7 +451,7 @@
   if (!mGroup.IsConfirmedLeader(aNow)) {
     return update;
   }
-  mEntries.Take(aReport, mConfig.mWorkspaces, aNow);
+  mEntries.Take(aReport, aNow);
   NoteCrashes(aReport, aNow, aActions);
   update.mIsConfirmed = true;
   update.mProofAge = (aNow - *mGroup.GetConfirmedAt()).count();
@@ -460,7 +462,7 @@
   update.mEvacuatedZones.assign(mState.GetEvacuatedZones().begin(),
                                 mState.GetEvacuatedZones().end());
   mBackends.WriteNews(aReport.mListEpoch, aReport.mListRevision, aNow, update);
-  update.mShares = mEntries.TakeShares(aReport.mPlace.mVm);
+  update.mGrants = mLedger.Take(aReport, aNow);
   WritePermits(aReport, aNow, update);
   for (const auto& [fingerprint, record] : mCrashes) {
     if (record.mBackends.size() >= kQuarantineCrashes) {
--- a/src/citronpulley/fleet/fleet_control.h
+++ b/src/citronpulley/fleet/fleet_control.h
@@ -6,6 +6,7 @@
 #include "citronpulley/fleet/entry_registry.h"
 #include "citronpulley/fleet/fleet_message.h"
 #include "citronpulley/fleet/fleet_state.h"
+#include "citronpulley/fleet/workspace_ledger.h"
 
 #include <functional>
 #include <map>
@@ -44,6 +45,7 @@
   std::vector<vm_name> mSeeds;
   /** Time from the proof of an update for which an entry VM uses keys and rates. */
   microseconds mLease{ 4'000'000 };
+  quota_bounds mQuota;
 };
 
 /** Reads a text of the configuration; it fails for texts that are invalid as a whole. */
@@ -154,9 +156,12 @@
   void DoOne(read_failed& aFailed, instant aNow, fleet_actions& aActions);
   void FinishRead(std::uint64_t aRead, bool aIsConfirmed);
   void CompactIfLong(instant aNow, fleet_actions& aActions);
-  void NoteChange(const fleet_command& aCommand, fleet_outcome aOutcome, fleet_actions& aActions);
+  void NoteChange(const fleet_command& aCommand,
+                  fleet_outcome aOutcome,
+                  instant aNow,
+                  fleet_actions& aActions);
   void NoteLeader(instant aNow, fleet_actions& aActions);
-  void RefreshConfig(fleet_actions& aActions);
+  void RefreshConfig(instant aNow, fleet_actions& aActions);
   void LearnControlVms(const std::vector<vm_name>& aVms);
   contact_reply GetContacts() const;
   void AskContacts(instant aNow, fleet_actions& aActions);
@@ -175,6 +180,7 @@
   std::uint64_t mEpoch;
   backend_registry mBackends;
   entry_registry mEntries;
+  workspace_ledger mLedger;
   std::vector<vm_name> mControlVms;
   std::map<log_index, pending_command> mPending;
   std::map<std::uint64_t, on_read> mReads;
--- a/src/citronpulley/fleet/fleet_message.h
+++ b/src/citronpulley/fleet/fleet_message.h
@@ -61,32 +61,37 @@
   }
 };
 
-/** Requests per second that callers of a workspace asked of one entry VM. */
+/** What one entry VM was asked of a workspace, and the tokens of its rate that it still holds. */
 struct workspace_demand
 {
   workspace_name mWorkspace;
+  /** Requests per second. */
   double mRate = 0;
+  /** Below 0 when the VM spent a fraction in advance. */
+  double mTokens = 0;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mWorkspace, mRate);
+    aArchive(mWorkspace, mRate, mTokens);
   }
 };
 
-/** Part of a workspace's rate that one entry VM may use. */
-struct workspace_share
+/** Tokens of a workspace's rate for one entry VM. */
+struct workspace_grant
 {
   workspace_name mWorkspace;
-  double mRate = 0;
-  double mBurst = 0;
-
-  friend bool operator==(const workspace_share&, const workspace_share&) = default;
+  /** Added to what the VM holds. */
+  double mTokens = 0;
+  /** Tokens per second that the VM adds by itself while no leader answers. */
+  double mSilentRate = 0;
+  /** Most tokens that it holds then. */
+  double mMost = 0;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mWorkspace, mRate, mBurst);
+    aArchive(mWorkspace, mTokens, mSilentRate, mMost);
   }
 };
 
@@ -185,7 +190,7 @@
   std::vector<backend_record> mBackends;
   /** Backend servers that left, crashed for long or were replaced. */
   std::vector<std::string> mRemoved;
-  std::vector<workspace_share> mShares;
+  std::vector<workspace_grant> mGrants;
   std::vector<warmup_permit> mPermits;
   /** Fingerprints of requests that crash backend servers. */
   std::vector<digest> mQuarantined;
@@ -205,7 +210,7 @@
              mIsWholeList,
              mBackends,
              mRemoved,
-             mShares,
+             mGrants,
              mPermits,
              mQuarantined);
   }
--- /dev/null
+++ b/src/citronpulley/fleet/workspace_ledger.h
@@ -0,0 +1,80 @@
+#ifndef CITRONPULLEY_FLEET_WORKSPACE_LEDGER_H
+#define CITRONPULLEY_FLEET_WORKSPACE_LEDGER_H
+
+#include "citronpulley/base/identifiers.h"
+#include "citronpulley/base/instant.h"
+#include "citronpulley/fleet/fleet_message.h"
+#include "citronpulley/steering/traffic_config.h"
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace citronpulley {
+
+/** Bounds on what the requests of a workspace may exceed its rate by. */
+struct quota_bounds
+{
+  microseconds mWindow{ 5'000'000 };
+  /** Part of the rate and burst of a window. */
+  double mOverage = 0.1;
+  /** Requests in a window. */
+  double mSlack = 20;
+};
+
+/**
+ * Lends the rate of each workspace to the entry VMs in tokens, a few hundred milliseconds ahead of
+ * their requests. In any window no more tokens can be spent than the rate adds, plus those that are
+ * in the ledger and in the hands of the entry VMs at its start; both are kept under what the bounds
+ * allow. Soft state of the leader; a new leader starts with an empty ledger. Pure and not
+ * thread-safe.
+ */
+class workspace_ledger
+{
+public:
+  /** Silence of an entry VM from which on it uses the part that is reserved for it. */
+  static constexpr microseconds kSilence{ 600'000 };
+
+  workspace_ledger(quota_bounds aBounds, microseconds aLease) noexcept
+    : mBounds(aBounds)
+    , mLease(aLease)
+  {
+  }
+
+  /** Takes over the rates of a configuration. */
+  void SetRules(const std::vector<workspace_rule>& aRules, instant aNow);
+
+  /** Takes a report of an entry VM and lends it tokens. */
+  std::vector<workspace_grant> Take(const entry_report& aReport, instant aNow);
+
+private:
+  struct holder
+  {
+    double mDemand = 0;
+    double mTokens = 0;
+    double mSilentRate = 0;
+  };
+
+  struct account
+  {
+    double mRate = 0;
+    double mBurst = 0;
+    double mTokens = 0;
+    instant mFilledAt;
+    std::map<vm_name, holder> mHolders;
+  };
+
+  double GetAllowance(const account& aAccount) const;
+  void Fill(account& aAccount, instant aNow) const;
+  workspace_grant Lend(account& aAccount, const vm_name& aVm, instant aNow);
+  void Expire(instant aNow);
+
+  quota_bounds mBounds;
+  microseconds mLease;
+  std::map<workspace_name, account> mAccounts;
+  std::map<vm_name, instant> mHeardAt;
+};
+
+} // namespace citronpulley
+
+#endif
--- a/src/citronpulley/gateway/gateway_settings.cpp
+++ b/src/citronpulley/gateway/gateway_settings.cpp
@@ -138,6 +138,10 @@
       aSettings.mControl.mSelf = ReadSelf(aTable);
       aSettings.mControl.mSeeds = ReadSeeds(aTable);
       aSettings.mControl.mLease = ReadLease(aTable);
+      quota_bounds& quota = aSettings.mControl.mQuota;
+      quota.mWindow = ReadTime(aTable, "bounds.rate_window", quota.mWindow);
+      quota.mOverage = aTable.at_path("bounds.rate_overage").value_or(quota.mOverage);
+      quota.mSlack = aTable.at_path("bounds.rate_slack").value_or(quota.mSlack);
       aSettings.mControlAddress = Read<std::string>(aTable, "control_address");
       aSettings.mDirectoryAddress = Read<std::string>(aTable, "directory_address");
       aSettings.mDataFolder = Read<std::string>(aTable, "data_folder");
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -14,7 +14,7 @@
 /** Cost of the way to another region and back. */
 constexpr double kOtherRegionUs = 45'000;
 /** Largest cost that is accepted to reach the backend server that knows a key best. */
-constexpr double kAffinityUs = 60'000;
+constexpr double kAffinityUs = 2'000'000;
 /** Cost of a request that fails and is sent again or reported. */
 constexpr double kFailureUs = 400'000;
 /** A failure of a request that may not be repeated reaches its caller. */
@@ -36,6 +36,10 @@
 /** Steps of the part that leaves the region: 6% a second keeps two seconds under 15%. */
 constexpr microseconds kSpillInterval{ 250'000 };
 constexpr double kSpillStep = 0.015;
+/** A key that comes home finds its backend server there still warm only for a while. */
+constexpr double kSpillReturnStep = 0.005;
+/** Weight of one look at the utilisation: a burst of cold runs is no lack of room. */
+constexpr double kUtilisationWeight = 0.12;
 /** Utilisation of the home region above which, and below which, the part changes. */
 constexpr double kSpillAbove = 0.85;
 constexpr double kSpillBelow = 0.65;
@@ -355,11 +359,12 @@
   }
   mNextSpillAt = aNow + kSpillInterval;
   for (auto& [name, service] : mServices) {
-    const double home = GetUtilisation(service, true, aNow);
-    if (home > kSpillAbove && GetUtilisation(service, false, aNow) < kSpillRoom) {
+    service.mUtilisation +=
+      (GetUtilisation(service, true, aNow) - service.mUtilisation) * kUtilisationWeight;
+    if (service.mUtilisation > kSpillAbove && GetUtilisation(service, false, aNow) < kSpillRoom) {
       service.mSpill = std::min(1.0, service.mSpill + kSpillStep);
-    } else if (home < kSpillBelow) {
-      service.mSpill = std::max(0.0, service.mSpill - kSpillStep);
+    } else if (service.mUtilisation < kSpillBelow) {
+      service.mSpill = std::max(0.0, service.mSpill - kSpillReturnStep);
     }
   }
 }
--- a/src/citronpulley/steering/backend_pool.h
+++ b/src/citronpulley/steering/backend_pool.h
@@ -144,6 +144,8 @@
   {
     std::vector<std::string> mBackends;
     double mSpill = 0;
+    /** Smoothed use of the slots in this region. */
+    double mUtilisation = 0;
     double mServiceTimeUs = 0;
   };
 
--- a/src/citronpulley/steering/workspace_meter.cpp
+++ b/src/citronpulley/steering/workspace_meter.cpp
@@ -7,10 +7,8 @@
 
 namespace {
 
-/** Smallest bucket: with less than one token, a small part would never admit a request. */
-constexpr double kMinBucket = 1;
 /** Demand below which a workspace is not reported, in requests per second. */
-constexpr double kMinDemand = 0.05;
+constexpr double kMinDemand = 0.02;
 
 double ToSeconds(microseconds aSpan)
 {
@@ -19,27 +17,29 @@
 
 } // namespace
 
-void workspace_meter::SetShare(const workspace_name& aWorkspace,
-                               double aRate,
-                               double aBurst,
-                               instant aNow)
+void workspace_meter::NoteAnswer(instant aNow) noexcept
 {
-  const auto [place, isNew] = mAccounts.try_emplace(aWorkspace);
-  account& account = place->second;
-  if (isNew || account.mFilledAt == instant{}) {
-    account.mFilledAt = aNow;
-  }
-  Fill(account, aNow);
-  account.mRate = aRate;
-  account.mBurst = std::max(kMinBucket, aBurst);
-  account.mTokens = std::min(account.mTokens, account.mBurst);
+  mAnsweredAt = aNow;
+}
+
+void workspace_meter::Grant(const workspace_name& aWorkspace,
+                            double aTokens,
+                            double aSilentRate,
+                            double aMost)
+{
+  account& account = mAccounts[aWorkspace];
+  account.mTokens += aTokens;
+  account.mSilentRate = aSilentRate;
+  account.mMost = aMost;
 }
 
-void workspace_meter::Fill(account& aAccount, instant aNow)
+void workspace_meter::FillInSilence(account& aAccount, instant aNow) const
 {
-  const double elapsed = std::max(0.0, ToSeconds(aNow - aAccount.mFilledAt));
-  aAccount.mTokens =
-    std::min(aAccount.mBurst, aAccount.mTokens + aAccount.mRate * elapsed);
+  const instant from = std::max(aAccount.mFilledAt, mAnsweredAt + kSilence);
+  if (from < aNow && aAccount.mTokens < aAccount.mMost) {
+    aAccount.mTokens = std::min(
+      aAccount.mMost, aAccount.mTokens + aAccount.mSilentRate * ToSeconds(aNow - from));
+  }
   aAccount.mFilledAt = aNow;
 }
 
@@ -55,8 +55,8 @@
   account& account = mAccounts[aWorkspace];
   DecayDemand(account, aNow);
   account.mDemand += 1 / ToSeconds(kDemandWindow);
-  Fill(account, aNow);
-  if (account.mTokens < 1) {
+  FillInSilence(account, aNow);
+  if (account.mTokens <= 0) {
     return false;
   }
   account.mTokens -= 1;
@@ -67,17 +67,17 @@
 {
   const auto found = mAccounts.find(aWorkspace);
   if (found != mAccounts.end()) {
-    found->second.mTokens = std::min(found->second.mBurst, found->second.mTokens + 1);
+    found->second.mTokens += 1;
   }
 }
 
-std::vector<std::pair<workspace_name, double>> workspace_meter::ListDemands(instant aNow)
+std::vector<workspace_meter::account_report> workspace_meter::Report(instant aNow)
 {
-  std::vector<std::pair<workspace_name, double>> list;
+  std::vector<account_report> list;
   for (auto& [name, account] : mAccounts) {
     DecayDemand(account, aNow);
-    if (account.mDemand >= kMinDemand) {
-      list.emplace_back(name, account.mDemand);
+    if (account.mDemand >= kMinDemand || account.mTokens != 0) {
+      list.push_back({ name, account.mDemand, account.mTokens });
     }
   }
   return list;
--- a/src/citronpulley/steering/workspace_meter.h
+++ b/src/citronpulley/steering/workspace_meter.h
@@ -5,14 +5,13 @@
 #include "citronpulley/base/instant.h"
 
 #include <map>
-#include <utility>
 #include <vector>
 
 namespace citronpulley {
 
 /**
- * Tokens of the part of each workspace's rate that this VM may use, and the demand that it reports.
- * A part that grows brings no tokens at once, so that parts moved between VMs are not spent twice.
+ * Tokens of the workspaces' rates that this VM holds, and the demand that it reports. The leader
+ * tops them up ahead of the requests; while it is silent, the VM adds its reserved part by itself.
  * Pure and not thread-safe.
  */
 class workspace_meter
@@ -20,12 +19,26 @@
 public:
   /** Time over which the demand is averaged. */
   static constexpr microseconds kDemandWindow{ 1'500'000 };
+  /** Silence of the leader from which on the reserved part is added. */
+  static constexpr microseconds kSilence{ 800'000 };
 
-  /** Sets the part of a workspace. */
-  void SetShare(const workspace_name& aWorkspace, double aRate, double aBurst, instant aNow);
+  /** What the VM reports of a workspace. */
+  struct account_report
+  {
+    workspace_name mWorkspace;
+    double mDemand = 0;
+    double mTokens = 0;
+  };
+
+  /** Notes that the leader answered. */
+  void NoteAnswer(instant aNow) noexcept;
+
+  /** Adds tokens of a grant. */
+  void Grant(const workspace_name& aWorkspace, double aTokens, double aSilentRate, double aMost);
 
   /**
-   * Counts a request of a workspace with a limit.
+   * Counts a request of a workspace with a limit. A fraction of a token is enough: what it spends
+   * in advance is reported and made up for by the next grant.
    *
    * @return true when it may run; a token is taken then
    */
@@ -34,24 +47,25 @@
   /** Gives the token of a request back that did not run. */
   void GiveBack(const workspace_name& aWorkspace);
 
-  /** @return requests per second that were asked for, by workspace */
-  std::vector<std::pair<workspace_name, double>> ListDemands(instant aNow);
+  /** @return accounts with some demand, or with tokens */
+  std::vector<account_report> Report(instant aNow);
 
 private:
   struct account
   {
-    double mRate = 0;
-    double mBurst = 0;
     double mTokens = 0;
+    double mSilentRate = 0;
+    double mMost = 0;
     instant mFilledAt;
     double mDemand = 0;
     instant mDemandAt;
   };
 
-  static void Fill(account& aAccount, instant aNow);
+  void FillInSilence(account& aAccount, instant aNow) const;
   static void DecayDemand(account& aAccount, instant aNow);
 
   std::map<workspace_name, account> mAccounts;
+  instant mAnsweredAt;
 };
 
 } // namespace citronpulley
