Name the workspace of a refused request in the log

Cause: the log did not say which workspace was over its rate. Ruled out: nothing. Change: a refusal carries its workspace.

--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -182,11 +182,11 @@
     ticket.mPlacement.mWorkspaceRegions = workspace->mAllowedRegions;
   }
   if (!mQuarantined.empty() && mQuarantined.contains(aFacts.mFingerprint(ticket.mWorkspace))) {
-    return refusal{ refusal_reason::Quarantined };
+    return refusal{ refusal_reason::Quarantined, ticket.mWorkspace };
   }
   if (workspace != nullptr && workspace->mRate > 0 && !ticket.mWorkspace.IsEmpty()) {
     if (!mMeter.TryTake(workspace->mName, aNow)) {
-      return refusal{ refusal_reason::RateExceeded };
+      return refusal{ refusal_reason::RateExceeded, workspace->mName };
     }
     ticket.mIsMetered = true;
   }
@@ -207,7 +207,7 @@
       mMeter.GiveBack(aTicket.mWorkspace);
       aTicket.mIsMetered = false;
     }
-    return refusal{ aReason };
+    return refusal{ aReason, aTicket.mWorkspace };
   };
   if (aNow >= aTicket.mDeadline) {
     return refuse(refusal_reason::NoTime);
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -89,6 +89,8 @@
 struct refusal
 {
   refusal_reason mReason = refusal_reason::NoBackend;
+  /** Empty before the key is known. */
+  workspace_name mWorkspace{};
 };
 
 /** What follows the end of an attempt. */
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -223,7 +223,7 @@
   if (mIsStopping &&
       static_cast<double>((now - mStoppingSince).count()) >
         kRefuseAfter * static_cast<double>(mSettings.mGrace.count())) {
-    Refuse(aRequest, refusal_reason::Stopping);
+    Refuse(aRequest, { refusal_reason::Stopping });
     return;
   }
   const http_query& query = aRequest->mQuery;
@@ -238,7 +238,7 @@
   };
   std::variant<admission_ticket, refusal> admitted = mSteering.Admit(facts, now);
   if (const auto* refused = std::get_if<refusal>(&admitted)) {
-    Refuse(aRequest, refused->mReason);
+    Refuse(aRequest, *refused);
     return;
   }
   auto exchange = std::make_shared<entry_gateway::exchange>();
@@ -412,14 +412,16 @@
   Forget(aExchange);
 }
 
-void entry_gateway::Refuse(const std::shared_ptr<inbound_request>& aRequest, refusal_reason aReason)
+void entry_gateway::Refuse(const std::shared_ptr<inbound_request>& aRequest,
+                           const refusal& aRefusal)
 {
   const instant now = GetBootTime();
   const std::string* id = FindField(aRequest->mQuery.mFields, mNames.mRequestId);
   if (mLog.HasRoom(event_rank::Failure, now)) {
     mLog.Write("refused",
                { { "request", id == nullptr ? std::string() : *id },
-                 { "reason", ToString(aReason) },
+                 { "reason", ToString(aRefusal.mReason) },
+                 { "workspace", aRefusal.mWorkspace.mValue },
                  { "config",
                    static_cast<std::uint64_t>(
                      mSteering.GetConfig() ? mSteering.GetConfig()->GetConfig().mVersion : 0) },
@@ -432,19 +434,19 @@
   if (id != nullptr) {
     fields.push_back({ mNames.mRequestId, *id });
   }
-  const unsigned status = StatusOf(aReason);
+  const unsigned status = StatusOf(aRefusal.mReason);
   if (status == 429) {
     fields.push_back({ "Retry-After", kRateRetryAfter });
   } else if (status == 503) {
     fields.push_back({ "Retry-After", kRetryAfter });
   }
   aRequest->Respond(
-    MakeAnswer(status, mDialect->WriteError(ToString(aReason)), std::move(fields)));
+    MakeAnswer(status, mDialect->WriteError(ToString(aRefusal.mReason)), std::move(fields)));
 }
 
 void entry_gateway::RefuseExchange(const exchange_ptr& aExchange, refusal_reason aReason)
 {
-  Refuse(aExchange->mRequest, aReason);
+  Refuse(aExchange->mRequest, { aReason, aExchange->mTicket.mWorkspace });
   Forget(aExchange);
 }
 
--- a/src/citronpulley/gateway/entry_gateway.h
+++ b/src/citronpulley/gateway/entry_gateway.h
@@ -71,7 +71,7 @@
   void TakeEnd(const exchange_ptr& aExchange, channel_end aEnd, http_reply aAnswer);
   attempt_outcome Classify(channel_end aEnd, const http_reply& aAnswer) const;
   void PassOn(const exchange_ptr& aExchange, http_reply aAnswer);
-  void Refuse(const std::shared_ptr<inbound_request>& aRequest, refusal_reason aReason);
+  void Refuse(const std::shared_ptr<inbound_request>& aRequest, const refusal& aRefusal);
   void RefuseExchange(const exchange_ptr& aExchange, refusal_reason aReason);
   void Abandon(const exchange_ptr& aExchange);
   void Forget(const exchange_ptr& aExchange) { mExchanges.erase(aExchange); }
