Start with the spill that balances the regions by their slots, and test the new modules

Cause: a region with few slots (brisbane: 2 of 20) saturates at once, and the share that leaves grows by 6% a second only. Also: small workspaces were refused inside their rate (test demand_inside_the_rate_is_hardly_ever_refused failed first), and two VMs of a region chose different targets for a key when hashes lay close (test failed first). Ruled out: a faster ramp, which breaks the cap on shifts. Change: before its first request a service's spill follows the places of its targets; the ledger holds 0.4 s of the rate and lends the rest; no cost of another zone where a key decides; tests of steering, fleet and platform.

--- a/src/citronpulley/fleet/workspace_ledger.cpp
+++ b/src/citronpulley/fleet/workspace_ledger.cpp
@@ -7,8 +7,12 @@
 
 namespace {
 
-/** Part of the tokens that is divided evenly, for a first request at any VM. */
-constexpr double kEvenPart = 0.25;
+/** Smallest part of the tokens that is divided evenly, for a first request at any VM. */
+constexpr double kMinEvenPart = 0.25;
+/** Tokens that each VM should hold whatever its demand, if there are as many. */
+constexpr double kEvenTokens = 2;
+/** Time for which the ledger itself holds tokens: a report and its grant. */
+constexpr double kLedgerSeconds = 0.4;
 /** Part of the allowance that stays unused, for reports and grants that cross. */
 constexpr double kMargin = 0.1;
 
@@ -45,6 +49,11 @@
   return std::max(excess * (1 - kMargin) - advance, excess / 4);
 }
 
+double workspace_ledger::GetLedgerPart(const account& aAccount) const
+{
+  return std::min(GetAllowance(aAccount) / 2, 1 + kLedgerSeconds * aAccount.mRate);
+}
+
 void workspace_ledger::Fill(account& aAccount, instant aNow) const
 {
   const double elapsed = static_cast<double>((aNow - aAccount.mFilledAt).count()) / 1e6;
@@ -56,7 +65,7 @@
       rate -= holder.mSilentRate;
     }
   }
-  aAccount.mTokens = std::min(GetAllowance(aAccount) / 2,
+  aAccount.mTokens = std::min(GetLedgerPart(aAccount),
                               aAccount.mTokens + std::max(0.0, rate) * std::max(0.0, elapsed));
 }
 
@@ -98,10 +107,12 @@
   }
   holder& holder = aAccount.mHolders[aVm];
   const double even = 1 / static_cast<double>(aAccount.mHolders.size());
+  const double lent = GetAllowance(aAccount) - GetLedgerPart(aAccount);
+  const double evenPart = std::clamp(kEvenTokens / (even * lent), kMinEvenPart, 1.0);
   const double part =
-    demand > 0 ? kEvenPart * even + (1 - kEvenPart) * holder.mDemand / demand : even;
+    demand > 0 ? evenPart * even + (1 - evenPart) * holder.mDemand / demand : even;
   workspace_grant grant;
-  grant.mMost = GetAllowance(aAccount) / 2 * part;
+  grant.mMost = lent * part;
   grant.mSilentRate = aAccount.mRate * part;
   // Tokens that became too many go back to the ledger.
   grant.mTokens = std::min(grant.mMost - holder.mTokens, std::max(0.0, aAccount.mTokens));
--- a/src/citronpulley/fleet/workspace_ledger.h
+++ b/src/citronpulley/fleet/workspace_ledger.h
@@ -64,7 +64,10 @@
     std::map<vm_name, holder> mHolders;
   };
 
+  /** @return tokens that the ledger and all entry VMs may hold together */
   double GetAllowance(const account& aAccount) const;
+  /** @return tokens of these that the ledger holds at most */
+  double GetLedgerPart(const account& aAccount) const;
   void Fill(account& aAccount, instant aNow) const;
   workspace_grant Lend(account& aAccount, const vm_name& aVm, instant aNow);
   void Expire(instant aNow);
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -194,7 +194,8 @@
   score += load / slots * mean * 0.2;
   if (aBackend.mRegion != mRegion) {
     score += kOtherRegionUs;
-  } else if (aBackend.mRecord.mZone != mZone) {
+  } else if (aBackend.mRecord.mZone != mZone && !aRequest.mAffinityKey) {
+    // With a key, all VMs of the region must come to the same choice.
     score += kOtherZoneUs;
   }
   score += GetFailureRate(aBackend, aNow) *
@@ -276,6 +277,7 @@
   }
   backend& backend = found->second;
   backend.mOwn += 1;
+  mServices[backend.mRecord.mService].mIsUsed = true;
   backend.mIsOnTrial = backend.mConsecutiveFailures > 0;
   const auto rate = mWarmupRates.find(aBackend);
   if (aNow < backend.mColdUntil && rate != mWarmupRates.end() && rate->second > 0) {
@@ -352,13 +354,41 @@
   return slots > 0 ? load / slots : 1;
 }
 
+double backend_pool::GetBalancedSpill(const service& aService) const
+{
+  double home = 0;
+  double all = 0;
+  for (const std::string& id : aService.mBackends) {
+    const backend& backend = mBackends.at(id);
+    all += backend.mRecord.mSlots;
+    home += backend.mRegion == mRegion ? backend.mRecord.mSlots : 0;
+  }
+  const auto zones = static_cast<double>(
+    std::ranges::count(mRegions, mRegion, &std::pair<const zone_name, region_name>::second));
+  const double share = zones / static_cast<double>(std::max<std::size_t>(1, mRegions.size()));
+  return all > 0 && share > 0 ? std::clamp(1 - home / (all * share), 0.0, 1.0) : 0;
+}
+
+void backend_pool::BalanceUnused()
+{
+  for (auto& [name, service] : mServices) {
+    if (!service.mIsUsed) {
+      service.mSpill = GetBalancedSpill(service);
+    }
+  }
+}
+
 void backend_pool::AdaptSpill(instant aNow)
 {
   if (aNow < mNextSpillAt) {
     return;
   }
   mNextSpillAt = aNow + kSpillInterval;
+  BalanceUnused();
   for (auto& [name, service] : mServices) {
+    if (!service.mIsUsed) {
+      continue;
+    }
     service.mUtilisation +=
       (GetUtilisation(service, true, aNow) - service.mUtilisation) * kUtilisationWeight;
     if (service.mUtilisation > kSpillAbove && GetUtilisation(service, false, aNow) < kSpillRoom) {
--- a/src/citronpulley/steering/backend_pool.h
+++ b/src/citronpulley/steering/backend_pool.h
@@ -147,6 +147,8 @@
     /** Smoothed use of the slots in this region. */
     double mUtilisation = 0;
     double mServiceTimeUs = 0;
+    /** A request was sent; before, the spill follows the places of the backend servers. */
+    bool mIsUsed = false;
   };
 
   static double EstimateLoad(const backend& aBackend, instant aNow);
@@ -162,6 +164,9 @@
                           instant aNow) const;
   bool IsSpilled(const service& aService, const placement_request& aRequest);
   double GetUtilisation(const service& aService, bool aIsHome, instant aNow) const;
+  /** @return spill that loads all regions alike when each zone has the same demand */
+  double GetBalancedSpill(const service& aService) const;
+  void BalanceUnused();
   void Forget(const backend& aBackend);
 
   zone_name mZone;
--- /dev/null
+++ b/tests/fleet/entry_steering_test.cpp
@@ -0,0 +1,241 @@
+#include "citronpulley/fleet/entry_steering.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronpulley;
+
+namespace {
+
+const service_name kService("stock");
+const std::string kKey = "secret-key";
+
+traffic_config MakeConfig(config_version aVersion)
+{
+  traffic_config config;
+  config.mVersion = aVersion;
+  config.mServices = { { kService }, { service_name("other") } };
+  route_rule route;
+  route.mName = "idempotent";
+  route.mHost = "a.example";
+  route.mPrefix = "/get/";
+  route.mIsIdempotent = true;
+  route.mMaxAttempts = 2;
+  route.mTimeout = microseconds(1'000'000);
+  route.mServices = { { kService, 1 } };
+  config.mRoutes.push_back(route);
+  route.mName = "once";
+  route.mPrefix = "/post/";
+  route.mIsIdempotent = false;
+  config.mRoutes.push_back(route);
+  route.mName = "split";
+  route.mPrefix = "/split/";
+  route.mServices = { { kService, 90 }, { service_name("other"), 10 } };
+  config.mRoutes.push_back(route);
+  workspace_rule workspace;
+  workspace.mName = workspace_name("boats");
+  workspace.mKeys = { kKey };
+  config.mWorkspaces = { workspace };
+  return config;
+}
+
+/** Stands for the dialect: the text is the version. */
+result<traffic_config> Read(std::string_view aText)
+{
+  return MakeConfig(std::stoull(std::string(aText)));
+}
+
+entry_steering_settings MakeSettings()
+{
+  entry_steering_settings settings;
+  settings.mPlace.mVm = vm_name("10.0.0.1:7600");
+  settings.mPlace.mZone = zone_name("a");
+  settings.mPlace.mRegion = region_name("north");
+  settings.mRegions = { { zone_name("a"), region_name("north") } };
+  settings.mLease = microseconds(4'800'000);
+  return settings;
+}
+
+} // namespace
+
+TEST_GROUP(entry_steering)
+{
+  instant mNow{ microseconds(100'000'000) };
+  entry_steering mSteering{ MakeSettings(), Read };
+  std::string mKey = kKey;
+
+  bool Update(config_version aVersion, microseconds aProofAge = microseconds(0))
+  {
+    const entry_report report = mSteering.MakeReport(true, mNow);
+    entry_update update;
+    update.mNumber = report.mNumber;
+    update.mIsConfirmed = true;
+    update.mProofAge = aProofAge.count();
+    update.mConfig = aVersion;
+    update.mConfigText = std::to_string(aVersion);
+    update.mListEpoch = 1;
+    update.mIsWholeList = true;
+    for (const char* id : { "i-1", "i-2", "i-3" }) {
+      backend_record record;
+      record.mId = id;
+      record.mService = kService;
+      record.mAddress = server_name(std::string("10.1.0.1:") + id);
+      record.mZone = zone_name("a");
+      record.mSlots = 4;
+      update.mBackends.push_back(record);
+    }
+    return mSteering.Take(update, mNow, mNow);
+  }
+
+  std::variant<admission_ticket, refusal> Admit(std::string_view aPath)
+  {
+    request_facts facts;
+    facts.mHost = "a.example";
+    facts.mPath = aPath;
+    facts.mKey = &mKey;
+    facts.mFingerprint = [](const workspace_name&) { return digest{}; };
+    return mSteering.Admit(facts, mNow);
+  }
+
+  admission_ticket GetTicket(std::string_view aPath)
+  {
+    return std::get<admission_ticket>(Admit(aPath));
+  }
+
+  refusal_reason GetReason(std::string_view aPath)
+  {
+    return std::get<refusal>(Admit(aPath)).mReason;
+  }
+
+  next_step Attempt(admission_ticket & aTicket, attempt_outcome aOutcome)
+  {
+    const placement place = std::get<placement>(mSteering.Place(aTicket, mNow));
+    mSteering.NoteSent(place, mNow);
+    return mSteering.NoteEnd(aTicket, place, aOutcome, std::nullopt, microseconds(1'000), mNow);
+  }
+};
+
+/** Guards against 404 and 401 from a VM that simply knows nothing yet. */
+TEST(entry_steering, refuses_as_not_ready_before_the_first_configuration)
+{
+  CHECK(refusal_reason::NoConfig == GetReason("/get/x"));
+  CHECK(Update(1));
+  CHECK(std::holds_alternative<admission_ticket>(Admit("/get/x")));
+  CHECK(refusal_reason::UnknownRoute == GetReason("/nothing/x"));
+  mKey = "wrong";
+  CHECK(refusal_reason::UnknownKey == GetReason("/get/x"));
+}
+
+/** Guards against a withdrawn key that a VM without contact goes on accepting. */
+TEST(entry_steering, keys_are_refused_once_the_proof_is_too_old)
+{
+  Update(1, microseconds(300'000));
+  mNow += microseconds(4'499'999);
+  CHECK(std::holds_alternative<admission_ticket>(Admit("/get/x")));
+  mNow += microseconds(1);
+  CHECK(refusal_reason::NotFresh == GetReason("/get/x"));
+}
+
+/** Guards against a VM that goes back to an older configuration. */
+TEST(entry_steering, never_takes_an_older_configuration)
+{
+  CHECK(Update(5));
+  CHECK_FALSE(Update(4));
+  UNSIGNED_LONGS_EQUAL(5, mSteering.GetConfig()->GetConfig().mVersion);
+}
+
+/** Guards against an answer to an earlier report that makes the VM count as fresh. */
+TEST(entry_steering, ignores_an_update_that_answers_an_earlier_report)
+{
+  const entry_report earlier = mSteering.MakeReport(true, mNow);
+  mSteering.MakeReport(true, mNow);
+  entry_update update;
+  update.mNumber = earlier.mNumber;
+  update.mIsConfirmed = true;
+  update.mConfig = 1;
+  update.mConfigText = "1";
+  CHECK_FALSE(mSteering.Take(update, mNow, mNow));
+  POINTERS_EQUAL(nullptr, mSteering.GetConfig().get());
+}
+
+/** Guards against a request that may not be repeated and runs twice. */
+TEST(entry_steering, a_request_that_may_have_run_is_not_sent_again)
+{
+  Update(1);
+  admission_ticket lost = GetTicket("/post/x");
+  CHECK(next_step::Fail == Attempt(lost, attempt_outcome::Lost));
+  CHECK(lost.mMayHaveRun);
+  admission_ticket failed = GetTicket("/post/x");
+  CHECK(next_step::PassOn == Attempt(failed, attempt_outcome::Failed));
+}
+
+/** Guards against a failure that reaches the caller although another backend server is free. */
+TEST(entry_steering, a_request_that_did_not_run_is_sent_again)
+{
+  Update(1);
+  for (const attempt_outcome outcome : { attempt_outcome::NotSent,
+                                         attempt_outcome::NotExecuted,
+                                         attempt_outcome::WrongInstance }) {
+    admission_ticket ticket = GetTicket("/post/x");
+    CHECK(next_step::TryAgain == Attempt(ticket, outcome));
+    CHECK_FALSE(ticket.mMayHaveRun);
+    Update(1);
+    mNow += microseconds(10'000'000);
+    Update(1);
+  }
+}
+
+/** Guards against more backend servers for one request than its route allows. */
+TEST(entry_steering, attempts_end_at_the_number_of_the_route)
+{
+  Update(1);
+  admission_ticket ticket = GetTicket("/get/x");
+  CHECK(next_step::TryAgain == Attempt(ticket, attempt_outcome::Lost));
+  CHECK(next_step::Fail == Attempt(ticket, attempt_outcome::Lost));
+}
+
+/** Guards against a refusal that says "not run" after an attempt that may have run. */
+TEST(entry_steering, a_proof_for_the_last_attempt_proves_nothing_for_the_first)
+{
+  Update(1);
+  admission_ticket ticket = GetTicket("/get/x");
+  CHECK(next_step::TryAgain == Attempt(ticket, attempt_outcome::Lost));
+  CHECK(next_step::Fail == Attempt(ticket, attempt_outcome::NotExecuted));
+}
+
+/** Guards against retries of all VMs together that exceed the budget of a service. */
+TEST(entry_steering, retries_stay_within_their_share)
+{
+  Update(1);
+  int retries = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    admission_ticket ticket = GetTicket("/get/x");
+    retries += Attempt(ticket, attempt_outcome::NotExecuted) == next_step::TryAgain ? 1 : 0;
+  }
+  CHECK(retries <= 0.12 * 1'000 + 2);
+  CHECK(retries >= 100);
+}
+
+/** Guards against a split that drifts from its weights. */
+TEST(entry_steering, weights_are_kept_exactly)
+{
+  Update(1);
+  int other = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    other += GetTicket("/split/x").mPlacement.mService == service_name("other") ? 1 : 0;
+  }
+  LONGS_EQUAL(100, other);
+}
+
+/** Guards against a request that crashes one backend server after the other. */
+TEST(entry_steering, a_quarantined_request_is_refused)
+{
+  Update(1);
+  entry_update update;
+  update.mNumber = mSteering.MakeReport(true, mNow).mNumber;
+  update.mIsConfirmed = true;
+  update.mConfig = 1;
+  update.mListEpoch = 1;
+  update.mQuarantined = { digest{} };
+  mSteering.Take(update, mNow, mNow);
+  CHECK(refusal_reason::Quarantined == GetReason("/get/x"));
+}
--- /dev/null
+++ b/tests/fleet/workspace_ledger_test.cpp
@@ -0,0 +1,130 @@
+#include "citronpulley/fleet/workspace_ledger.h"
+#include "citronpulley/steering/workspace_meter.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <deque>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace citronpulley;
+
+namespace {
+
+const workspace_name kWorkspace("boats");
+constexpr microseconds kLease{ 4'800'000 };
+constexpr microseconds kStep{ 10'000 };
+
+struct entry_vm
+{
+  vm_name mName;
+  workspace_meter mMeter;
+  instant mCutUntil;
+  double mDemand = 0;
+};
+
+/** Requests that ran in any window of 5 s at most. */
+class window_counter
+{
+public:
+  void Count(instant aNow)
+  {
+    mRuns.push_back(aNow);
+    while (mRuns.front() + microseconds(5'000'000) <= aNow) {
+      mRuns.pop_front();
+    }
+    mMost = std::max(mMost, mRuns.size());
+  }
+
+  std::size_t GetMost() const { return mMost; }
+
+private:
+  std::deque<instant> mRuns;
+  std::size_t mMost = 0;
+};
+
+/** One minute of demand on several entry VMs, with cuts from the leader. */
+std::size_t RunSchedule(std::uint64_t aSeed, double aRate, int aVms, std::size_t& aRefused)
+{
+  std::mt19937_64 random(aSeed);
+  workspace_ledger ledger({}, kLease);
+  workspace_rule rule;
+  rule.mName = kWorkspace;
+  rule.mRate = aRate;
+  rule.mBurst = aRate;
+  instant now{ microseconds(100'000'000) };
+  ledger.SetRules({ rule }, now);
+  std::vector<entry_vm> vms(static_cast<std::size_t>(aVms));
+  for (std::size_t i = 0; i < vms.size(); ++i) {
+    vms[i].mName = vm_name("vm" + std::to_string(i));
+  }
+  window_counter runs;
+  const bool isOver = aSeed % 2 == 0;
+  for (int step = 0; step < 6'000; ++step) {
+    now += kStep;
+    if (step % 500 == 0) {
+      for (entry_vm& vm : vms) {
+        const double even = aRate / aVms;
+        vm.mDemand = even * (isOver ? 1 + static_cast<double>(random() % 8) : 0.6);
+        if (isOver && random() % 6 == 0) {
+          vm.mCutUntil = now + microseconds(static_cast<std::int64_t>(random() % 6'000'000));
+        }
+      }
+    }
+    for (std::size_t i = 0; i < vms.size(); ++i) {
+      entry_vm& vm = vms[i];
+      if (step % 30 == static_cast<int>(i % 30) && vm.mCutUntil <= now) {
+        entry_report report;
+        report.mPlace.mVm = vm.mName;
+        for (const auto& account : vm.mMeter.Report(now)) {
+          report.mDemands.push_back({ account.mWorkspace, account.mDemand, account.mTokens });
+        }
+        vm.mMeter.NoteAnswer(now);
+        for (const workspace_grant& grant : ledger.Take(report, now)) {
+          vm.mMeter.Grant(grant.mWorkspace, grant.mTokens, grant.mSilentRate, grant.mMost);
+        }
+      }
+      std::poisson_distribution<int> arrivals(vm.mDemand * 0.01);
+      for (int count = arrivals(random); count > 0; --count) {
+        if (vm.mMeter.TryTake(kWorkspace, now)) {
+          runs.Count(now);
+        } else if (step > 300) {
+          ++aRefused;
+        }
+      }
+    }
+  }
+  return runs.GetMost();
+}
+
+double GetBound(double aRate)
+{
+  return (aRate * 5 + aRate) * 1.1 + 20;
+}
+
+} // namespace
+
+TEST_GROUP(workspace_ledger){};
+
+/** Guards against more requests of a workspace in a window than its rate and burst allow. */
+TEST(workspace_ledger, no_window_exceeds_the_bound_under_demand_above_the_rate_and_cuts)
+{
+  for (const double rate : { 8.0, 40.0, 400.0 }) {
+    for (std::uint64_t seed = 2; seed <= 12; seed += 2) {
+      std::size_t refused = 0;
+      const std::size_t most = RunSchedule(seed, rate, 16, refused);
+      CHECK(static_cast<double>(most) <= GetBound(rate));
+    }
+  }
+}
+
+/** Guards against refusals of a workspace that stays well inside its rate, also of a small one. */
+TEST(workspace_ledger, demand_inside_the_rate_is_hardly_ever_refused)
+{
+  for (const double rate : { 8.0, 40.0, 400.0 }) {
+    std::size_t refused = 0;
+    RunSchedule(1, rate, 16, refused);
+    CHECK(static_cast<double>(refused) < 0.002 * rate * 0.6 * 60 + 3);
+  }
+}
--- /dev/null
+++ b/tests/platform/platform_dialect_test.cpp
@@ -0,0 +1,134 @@
+#include "platform_dialect.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronpulley;
+
+namespace {
+
+const char* const kConfig =
+  R"({"Version":"r7","Limits":{"MaxHeaderBytes":8192,"MaxBodyBytes":1000000,"HeaderTimeout":"3000ms",)"
+  R"("IdleTimeout":"2.5s"},"Tenants":[{"Name":"t1","ApiKeys":["k1","k2"],"Priority":1,"RatePerS":405,)"
+  R"("Burst":300,"AllowedRegions":["north"]}],"BaseVersion":"r5","Listeners":[{"Host":"a.example",)"
+  R"("Rules":[{"Name":"r1","Kind":"safe","Aim":"400ms","Priority":2,"AllowAnonymous":false,)"
+  R"("Sticky":true,"Match":{"PathPrefix":"/x/"},"Action":{"WeightedServices":[{"Service":"s1",)"
+  R"("Weight":90},{"Service":"s2","Weight":10}],"Timeout":"1200ms","MaxAttempts":2,)"
+  R"("AllowedRegions":[]}}]}],"Clusters":[{"Name":"s1","HealthCheckPath":"/h","MaxConnections":780,)"
+  R"("Protocol":"h1","Tls":false,"Warmup":"3s","WarmupPerS":16.0},{"Name":"s2","MaxConnections":5}]})";
+
+http_query MakeQuery(std::string aMethod, std::string aTarget, std::string aBody = {})
+{
+  http_query query;
+  query.mMethod = std::move(aMethod);
+  query.mTarget = std::move(aTarget);
+  query.mBody = std::move(aBody);
+  return query;
+}
+
+const char* const kBeat =
+  R"({"Service":"s1","Address":"10.0.0.9:8080","Zone":"a","Version":"v1","Slots":9,"State":"ready",)"
+  R"("WarmupLeft":"1500ms","Seq":4,"born":1700000000000})";
+
+} // namespace
+
+TEST_GROUP(platform_dialect)
+{
+  platform_dialect mDialect;
+
+  result<backend_record> Announce(const std::string& aBody)
+  {
+    return std::get<announcement_call>(
+             mDialect.ReadCall(MakeQuery("POST", "/-/instances/i-1/heartbeat", aBody)))
+      .mRecord;
+  }
+};
+
+/** Guards against a field of a configuration that is read as something else. */
+TEST(platform_dialect, reads_a_configuration)
+{
+  const result<traffic_config> read = mDialect.ReadConfig(kConfig);
+  CHECK(static_cast<bool>(read));
+  const traffic_config& config = read.Get();
+  UNSIGNED_LONGS_EQUAL(7, config.mVersion);
+  UNSIGNED_LONGS_EQUAL(5, config.mBase);
+  UNSIGNED_LONGS_EQUAL(8'192, config.mLimits.mMaxHeaderBytes);
+  CHECK(config.mLimits.mIdleTimeout == microseconds(2'500'000));
+  const workspace_rule& workspace = config.mWorkspaces.front();
+  STRCMP_EQUAL("k2", workspace.mKeys.back().c_str());
+  DOUBLES_EQUAL(405, workspace.mRate, 0);
+  DOUBLES_EQUAL(300, workspace.mBurst, 0);
+  LONGS_EQUAL(1, *workspace.mPriority);
+  const route_rule& route = config.mRoutes.front();
+  STRCMP_EQUAL("a.example", route.mHost.c_str());
+  CHECK(route.mIsIdempotent);
+  CHECK(*route.mTimeout == microseconds(1'200'000));
+  CHECK(*route.mObjective == microseconds(400'000));
+  LONGS_EQUAL(2, route.mMaxAttempts);
+  DOUBLES_EQUAL(10, route.mServices.back().mWeight, 0);
+  DOUBLES_EQUAL(16, config.mServices.front().mWarmupRate, 0);
+  CHECK_FALSE(FindFault(config).has_value());
+}
+
+/** Guards against a configuration that was cut short or has fields of another type. */
+TEST(platform_dialect, refuses_what_cannot_be_read_in_full)
+{
+  const std::string text = kConfig;
+  CHECK_FALSE(static_cast<bool>(mDialect.ReadConfig(text.substr(0, text.size() - 2))));
+  CHECK_FALSE(static_cast<bool>(mDialect.ReadConfig("[]")));
+  CHECK_FALSE(static_cast<bool>(mDialect.ReadConfig(R"({"Version":"x7","BaseVersion":"r5"})")));
+  CHECK_FALSE(static_cast<bool>(mDialect.ReadConfig(R"({"BaseVersion":"r5"})")));
+}
+
+TEST(platform_dialect, reads_an_announcement)
+{
+  const result<backend_record> record = Announce(kBeat);
+  CHECK(static_cast<bool>(record));
+  STRCMP_EQUAL("i-1", record.Get().mId.c_str());
+  LONGS_EQUAL(1'500, record.Get().mWarmupLeftMs);
+  CHECK(record.Get().mStartedAtMs == 1'700'000'000'000);
+  CHECK_FALSE(record.Get().mIsLeaving);
+}
+
+/** Guards against a backend server that is made from an announcement of another writer. */
+TEST(platform_dialect, refuses_announcements_that_name_no_backend_server)
+{
+  CHECK_FALSE(static_cast<bool>(Announce("{")));
+  CHECK_FALSE(static_cast<bool>(Announce(R"({"Service":"s1"})")));
+  CHECK_FALSE(static_cast<bool>(
+    Announce(R"({"Service":"s1","Address":"a","Zone":"a","Slots":"9","State":"ready","Seq":4})")));
+  CHECK_FALSE(static_cast<bool>(
+    Announce(R"({"Service":"s1","Address":"a","Zone":"a","Slots":9,"State":"asleep","Seq":4})")));
+  CHECK_FALSE(static_cast<bool>(Announce(
+    R"({"Service":"s1","Address":"a","Zone":"a","Slots":9,"State":"ready","Seq":4,"born":1.5})")));
+}
+
+TEST(platform_dialect, tells_the_calls_apart)
+{
+  CHECK(std::holds_alternative<ready_call>(mDialect.ReadCall(MakeQuery("GET", "/-/readyz"))));
+  CHECK(
+    std::holds_alternative<get_config_call>(mDialect.ReadCall(MakeQuery("GET", "/-/config/get"))));
+  CHECK(std::holds_alternative<unknown_call>(mDialect.ReadCall(MakeQuery("POST", "/-/other"))));
+  CHECK(std::holds_alternative<unknown_call>(
+    mDialect.ReadCall(MakeQuery("POST", "/-/instances//heartbeat"))));
+  const auto resolve =
+    std::get<resolve_call>(mDialect.ReadCall(MakeQuery("GET", "/-/resolve?Name=x&Region=r&Zone=z")));
+  STRCMP_EQUAL("z", resolve.mZone.mValue.c_str());
+  STRCMP_EQUAL("r", resolve.mRegion.mValue.c_str());
+  const auto evacuation =
+    std::get<evacuation_call>(mDialect.ReadCall(MakeQuery("POST", "/-/evacuations/z/end")));
+  CHECK_FALSE(evacuation.mCommand.mIsEvacuated);
+  const auto departure = std::get<departure_call>(
+    mDialect.ReadCall(MakeQuery("POST", "/-/instances/i-2/deregister", R"({"born":5})")));
+  STRCMP_EQUAL("i-2", departure.mCommand.mBackend.c_str());
+  LONGS_EQUAL(5, departure.mCommand.mStartedAtMs);
+}
+
+TEST(platform_dialect, reads_loads)
+{
+  const std::optional<load_report> load = mDialect.ReadLoad("3,1,8");
+  CHECK(load.has_value());
+  CHECK((*load == load_report{ 3, 1, 8 }));
+  CHECK_FALSE(mDialect.ReadLoad("3,1").has_value());
+  CHECK_FALSE(mDialect.ReadLoad("-3,1,8").has_value());
+  CHECK_FALSE(mDialect.ReadLoad("x").has_value());
+}
--- /dev/null
+++ b/tests/steering/backend_pool_test.cpp
@@ -0,0 +1,226 @@
+#include "citronpulley/steering/backend_pool.h"
+
+#include <CppUTest/TestHarness.h>
+#include <map>
+
+using namespace citronpulley;
+
+namespace {
+
+const service_name kService("stock");
+
+backend_record MakeRecord(std::string aId, std::string aZone)
+{
+  backend_record record;
+  record.mId = std::move(aId);
+  record.mService = kService;
+  record.mAddress = server_name("10.0.0.1:" + record.mId);
+  record.mZone = zone_name(std::move(aZone));
+  record.mSlots = 4;
+  record.mStartedAtMs = 1'000;
+  return record;
+}
+
+placement_request MakeRequest(std::string aKey = "17")
+{
+  placement_request request;
+  request.mService = kService;
+  request.mAffinityKey = std::move(aKey);
+  request.mIsIdempotent = true;
+  return request;
+}
+
+} // namespace
+
+TEST_GROUP(backend_pool)
+{
+  instant mNow{ microseconds(10'000'000) };
+  backend_pool mPool{ zone_name("north-a"),
+                      { { zone_name("north-a"), region_name("north") },
+                        { zone_name("north-b"), region_name("north") },
+                        { zone_name("south-a"), region_name("south") } } };
+
+  void Add(const std::string& aId, const std::string& aZone)
+  {
+    mPool.Update(MakeRecord(aId, aZone), mNow);
+  }
+
+  std::string Choose(const placement_request& aRequest = MakeRequest())
+  {
+    const std::optional<placement> place = mPool.Choose(aRequest, mNow);
+    return place ? place->mBackend : std::string();
+  }
+
+  void End(const std::string& aId, attempt_outcome aOutcome)
+  {
+    mPool.NoteSent(aId, mNow);
+    mPool.NoteEnd(aId, aOutcome, std::nullopt, microseconds(50'000), mNow);
+  }
+};
+
+/** Guards against cold runs: two VMs of a region must send a key to the same backend server. */
+TEST(backend_pool, vms_of_a_region_agree_on_the_backend_server_of_a_key)
+{
+  backend_pool other{ zone_name("north-b"),
+                      { { zone_name("north-a"), region_name("north") },
+                        { zone_name("north-b"), region_name("north") } } };
+  for (int i = 0; i < 6; ++i) {
+    const backend_record record = MakeRecord(std::to_string(i), i % 2 == 0 ? "north-a" : "north-b");
+    mPool.Update(record, mNow);
+    other.Update(record, mNow);
+  }
+  std::map<std::string, int> used;
+  for (int key = 0; key < 60; ++key) {
+    const placement_request request = MakeRequest(std::to_string(key));
+    const std::string here = mPool.Choose(request, mNow)->mBackend;
+    STRCMP_EQUAL(here.c_str(), other.Choose(request, mNow)->mBackend.c_str());
+    ++used[here];
+  }
+  LONGS_EQUAL(6, used.size());
+}
+
+/** Guards against traffic that leaves the region while there is room in it. */
+TEST(backend_pool, stays_in_the_region)
+{
+  Add("s", "south-a");
+  Add("n", "north-b");
+  for (int key = 0; key < 30; ++key) {
+    STRCMP_EQUAL("n", Choose(MakeRequest(std::to_string(key))).c_str());
+  }
+}
+
+/** Guards against callers that get nothing when their whole region is lost. */
+TEST(backend_pool, leaves_the_region_when_nothing_in_it_is_usable)
+{
+  Add("s", "south-a");
+  STRCMP_EQUAL("s", Choose().c_str());
+}
+
+/** Guards against requests that reach a region that the route or the workspace excludes. */
+TEST(backend_pool, respects_the_regions_of_route_and_workspace)
+{
+  Add("n", "north-a");
+  Add("s", "south-a");
+  placement_request request = MakeRequest();
+  request.mRouteRegions = { region_name("south") };
+  STRCMP_EQUAL("s", Choose(request).c_str());
+  request.mWorkspaceRegions = { region_name("north") };
+  STRCMP_EQUAL("", Choose(request).c_str());
+}
+
+/** Guards against requests into a zone that is being evacuated. */
+TEST(backend_pool, sends_nothing_into_an_evacuated_zone)
+{
+  Add("n", "north-a");
+  mPool.SetEvacuatedZones({ zone_name("north-a") }, mNow);
+  STRCMP_EQUAL("", Choose().c_str());
+}
+
+/** Guards against a rush on backend servers that lost their caches while their zone was empty. */
+TEST(backend_pool, a_zone_that_is_taken_back_counts_as_cold_at_first)
+{
+  Add("n", "north-a");
+  mPool.SetEvacuatedZones({ zone_name("north-a") }, mNow);
+  mPool.SetEvacuatedZones({}, mNow);
+  STRCMP_EQUAL("", Choose().c_str());
+  mNow += microseconds(2'000'001);
+  STRCMP_EQUAL("n", Choose().c_str());
+}
+
+/** Guards against requests to a backend server that said it leaves. */
+TEST(backend_pool, sends_nothing_to_a_leaving_backend_server)
+{
+  backend_record record = MakeRecord("n", "north-a");
+  record.mIsLeaving = true;
+  mPool.Update(record, mNow);
+  STRCMP_EQUAL("", Choose().c_str());
+}
+
+/** Guards against more requests to a cold backend server than it tolerates. */
+TEST(backend_pool, a_cold_backend_server_gets_only_what_its_permit_allows)
+{
+  backend_record record = MakeRecord("n", "north-a");
+  record.mWarmupLeftMs = 3'000;
+  mPool.Update(record, mNow);
+  STRCMP_EQUAL("", Choose().c_str());
+  mPool.SetWarmupRates({ { "n", 4 } });
+  int sent = 0;
+  for (int step = 0; step < 2'000; ++step) {
+    if (!Choose().empty()) {
+      mPool.NoteSent("n", mNow);
+      ++sent;
+    }
+    mNow += microseconds(1'000);
+  }
+  LONGS_EQUAL(8, sent);
+  mNow += microseconds(1'000'000);
+  STRCMP_EQUAL("n", Choose().c_str());
+}
+
+/** Guards against a dead backend server that every request tries first. */
+TEST(backend_pool, pauses_after_failed_connections_and_tries_again_with_one_request)
+{
+  Add("n", "north-a");
+  End("n", attempt_outcome::NotSent);
+  STRCMP_EQUAL("", Choose().c_str());
+  mNow += microseconds(400'000);
+  STRCMP_EQUAL("n", Choose().c_str());
+  mPool.NoteSent("n", mNow);
+  STRCMP_EQUAL("", Choose().c_str());
+  mPool.NoteEnd("n", attempt_outcome::Answered, std::nullopt, microseconds(1'000), mNow);
+  STRCMP_EQUAL("n", Choose().c_str());
+}
+
+/** Guards against a new start under an old identity that inherits the pause of the former one. */
+TEST(backend_pool, a_new_start_begins_without_history)
+{
+  Add("n", "north-a");
+  End("n", attempt_outcome::NotSent);
+  backend_record record = MakeRecord("n", "north-a");
+  record.mStartedAtMs = 2'000;
+  mPool.Update(record, mNow);
+  STRCMP_EQUAL("n", Choose().c_str());
+}
+
+/** Guards against sending to an address that another backend server has taken over. */
+TEST(backend_pool, an_address_that_changed_hands_is_not_used)
+{
+  Add("n", "north-a");
+  End("n", attempt_outcome::WrongInstance);
+  STRCMP_EQUAL("", Choose().c_str());
+}
+
+/** Guards against a single fast failing backend server that attracts the traffic of a key. */
+TEST(backend_pool, avoids_a_backend_server_that_fails)
+{
+  Add("a", "north-a");
+  Add("b", "north-a");
+  const std::string first = Choose();
+  for (int i = 0; i < 40; ++i) {
+    End(first, attempt_outcome::Lost);
+  }
+  placement_request request = MakeRequest();
+  request.mIsIdempotent = false;
+  CHECK(Choose(request) != first || Choose() != first);
+}
+
+/** Guards against a shift of more than 15% of a region's requests between two windows of 2 s. */
+TEST(backend_pool, traffic_leaves_the_region_in_small_steps)
+{
+  Add("n", "north-a");
+  Add("s", "south-a");
+  for (int i = 0; i < 8; ++i) {
+    mPool.NoteSent("n", mNow);
+  }
+  double before = 0;
+  for (int window = 0; window < 10; ++window) {
+    for (int step = 0; step < 100; ++step) {
+      mNow += microseconds(20'000);
+      mPool.AdaptSpill(mNow);
+    }
+    const double now = mPool.GetSpill(kService);
+    CHECK(now - before <= 0.15);
+    before = now;
+  }
+  CHECK(before > 0.5);
+}
