--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -9,6 +9,10 @@
 
 /** Time for which a caller without a deadline is kept waiting when the route states none either. */
 constexpr microseconds kDefaultPatience{ 30'000'000 };
+/** Part of the objective for which a request may wait for a slot however long it runs. */
+constexpr double kMinWaitPart = 0.3;
+/** Objective of routes that state none. */
+constexpr microseconds kDefaultObjective{ 1'000'000 };
 /** Crashes that are kept for the next report. */
 constexpr std::size_t kMaxCrashNotices = 200;
 
@@ -216,12 +220,24 @@
   if (!place) {
     return refuse(refusal_reason::NoBackend);
   }
-  if (place->mExpectedWait >= aTicket.mDeadline - aNow) {
+  if (place->mExpectedWait >= GetWaitLimit(aTicket, *place, aNow)) {
     return refuse(refusal_reason::Overloaded);
   }
   return *place;
 }
 
+microseconds entry_steering::GetWaitLimit(const admission_ticket& aTicket,
+                                          const placement& aPlacement,
+                                          instant aNow)
+{
+  const microseconds objective = aTicket.mRoute->mObjective.value_or(kDefaultObjective);
+  const auto least = microseconds(
+    static_cast<microseconds::rep>(kMinWaitPart * static_cast<double>(objective.count())));
+  // A queue that makes responses late serves nobody: they take the slots of those in time.
+  const microseconds inTime = std::max(least, objective - aPlacement.mServiceTime);
+  return std::min(aTicket.mPriority == 0 ? 2 * inTime : inTime, aTicket.mDeadline - aNow);
+}
+
 void entry_steering::NoteSent(const placement& aPlacement, instant aNow)
 {
   mPool.NoteSent(aPlacement.mBackend, aNow);
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -161,6 +161,10 @@
   instant GetFreshUntil() const noexcept { return mFreshUntil; }
 
 private:
+  /** @return expected wait for a slot with which a request is refused rather than sent */
+  static microseconds GetWaitLimit(const admission_ticket& aTicket,
+                                   const placement& aPlacement,
+                                   instant aNow);
   const service_name& PickService(const route_rule& aRoute);
   void TakeBackends(const entry_update& aUpdate, instant aNow);
 
