--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -27,7 +27,7 @@
 /** Time in which an unused judgement of failures halves, so that a backend server is tried again. */
 constexpr double kFailureHalfLifeUs = 4'000'000;
 /** Time in which the part of a load report that this VM did not cause loses most of its meaning. */
-constexpr double kReportLifeUs = 2'000'000;
+constexpr double kReportLifeUs = 1'500'000;
 /** First and longest pause after failed connections. */
 constexpr microseconds kFirstPause{ 400'000 };
 constexpr int kMaxPauseDoublings = 3;
