--- a/src/citronpulley/fleet/backend_registry.cpp
+++ b/src/citronpulley/fleet/backend_registry.cpp
@@ -41,11 +41,10 @@
     return false;
   }
   const instant coldUntil = aNow + microseconds(aRecord.mWarmupLeftMs * 1'000);
-  const bool isNews =
-    known == mEntries.end() || !IsSameButTime(known->second.mRecord, aRecord) ||
-    (coldUntil > aNow || known->second.mColdUntil > aNow
-       ? std::chrono::abs(coldUntil - known->second.mColdUntil) > kWarmupTolerance
-       : false);
+  const bool isNews = known == mEntries.end() || !IsSameButTime(known->second.mRecord, aRecord) ||
+                      (coldUntil > aNow || known->second.mColdUntil > aNow
+                         ? std::chrono::abs(coldUntil - known->second.mColdUntil) > kWarmupTolerance
+                         : false);
   entry& entry = mEntries[aRecord.mId];
   entry.mRecord = aRecord;
   entry.mHeardAt = aNow;
--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -49,6 +49,21 @@
   return "unknown";
 }
 
+std::string_view ToString(next_step aStep) noexcept
+{
+  switch (aStep) {
+    case next_step::PassOn:
+      return "pass_on";
+    case next_step::TryAgain:
+      return "try_again";
+    case next_step::Refuse:
+      return "refuse";
+    case next_step::Fail:
+      return "fail";
+  }
+  return "unknown";
+}
+
 entry_steering::entry_steering(entry_steering_settings aSettings,
                                std::function<result<traffic_config>(std::string_view)> aReader)
   : mSettings(std::move(aSettings))
@@ -93,8 +108,7 @@
     mConfig = std::make_shared<const route_index>(std::move(config.Get()));
     isNewConfig = true;
   }
-  mFreshUntil = std::max(mFreshUntil,
-                         aSentAt - microseconds(aUpdate.mProofAge) + mSettings.mLease);
+  mFreshUntil = std::max(mFreshUntil, aSentAt - microseconds(aUpdate.mProofAge) + mSettings.mLease);
   mPool.SetEvacuatedZones({ aUpdate.mEvacuatedZones.begin(), aUpdate.mEvacuatedZones.end() }, aNow);
   TakeBackends(aUpdate, aNow);
   mMeter.NoteAnswer(aNow);
@@ -124,6 +138,9 @@
       mPool.KeepOnly(named);
     }
   }
+  for (const note_departure& departure : aUpdate.mDepartures) {
+    mPool.RemoveStart(departure.mBackend, departure.mStartedAtMs);
+  }
   for (const std::string& id : aUpdate.mRemoved) {
     mPool.Remove(id);
   }
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -106,6 +106,9 @@
   Fail,
 };
 
+/** @return name of the step in logs */
+std::string_view ToString(next_step aStep) noexcept;
+
 /**
  * Decisions of an entry VM in direct steering: what may run, where, and what follows a failure. It
  * holds a copy of the control state and asks for news. Pure and not thread-safe.
--- a/src/citronpulley/fleet/fleet_control.cpp
+++ b/src/citronpulley/fleet/fleet_control.cpp
@@ -11,6 +11,8 @@
 
 /** Age up to which the records of a control VM are passed on to a new leader. */
 constexpr microseconds kPassOnAge{ 6'000'000 };
+/** Departures that an entry VM may have missed when it turns to another leader. */
+constexpr std::size_t kMaxDeparturesTold = 200;
 /** Voters without which no change is accepted, if there are as many seeds. */
 constexpr std::size_t kMinVoters = 3;
 
@@ -42,8 +44,8 @@
                                         const recovered_member& aRecovered,
                                         std::uint64_t aGroup)
 {
-  const bool isEmpty = !aRecovered.mSnapshot && aRecovered.mEntries.empty() &&
-                       aRecovered.mVote == vote_record{};
+  const bool isEmpty =
+    !aRecovered.mSnapshot && aRecovered.mEntries.empty() && aRecovered.mVote == vote_record{};
   const auto first = std::ranges::min_element(aSettings.mSeeds);
   if (!isEmpty || first == aSettings.mSeeds.end() || *first != aSettings.mSelf) {
     return std::nullopt;
@@ -95,9 +97,7 @@
                  mGroup.Receive(aOne.mSender, aOne.mMessage, aNow, actions);
                  Do(actions, aNow, aActions);
                },
-               [&](const entry_report& aReport) {
-                 aReply(AnswerReport(aReport, aNow, aActions));
-               },
+               [&](const entry_report& aReport) { aReply(AnswerReport(aReport, aNow, aActions)); },
                [](const entry_update&) {},
                [&](const announcement_batch& aBatch) {
                  for (const backend_record& record : aBatch.mAnnouncements) {
@@ -209,9 +209,9 @@
       outcome = mState.Apply(entry.mIndex, decoded.Get());
       NoteChange(decoded.Get(), *outcome, aNow, aActions);
     } else {
-      aActions.emplace_back(fleet_event{ "command_unreadable",
-                                         { { "index", std::to_string(entry.mIndex) },
-                                           { "error", decoded.GetError().mMessage } } });
+      aActions.emplace_back(fleet_event{
+        "command_unreadable",
+        { { "index", std::to_string(entry.mIndex) }, { "error", decoded.GetError().mMessage } } });
     }
   }
   if (!outcome) {
@@ -279,32 +279,31 @@
   const std::string outcome = aOutcome == fleet_outcome::Accepted   ? "accepted"
                               : aOutcome == fleet_outcome::Conflict ? "conflict"
                                                                     : "not_newer";
-  std::visit(overloaded{
-               [&](const put_config& aPut) {
-                 RefreshConfig(aNow, aActions);
-                 aActions.emplace_back(
-                   fleet_event{ "config",
-                                { { "version", std::to_string(aPut.mVersion) },
-                                  { "base", std::to_string(aPut.mBase) },
-                                  { "in_force", std::to_string(mState.GetVersion()) },
-                                  { "index", index },
-                                  { "outcome", outcome } } });
-               },
-               [&](const set_evacuation& aSet) {
-                 aActions.emplace_back(
-                   fleet_event{ aSet.mIsEvacuated ? "zone_evacuated" : "zone_taken_back",
-                                { { "zone", aSet.mZone.mValue }, { "index", index } } });
-               },
-               [&](const note_departure& aNote) {
-                 mBackends.Remove(aNote.mBackend, aNote.mStartedAtMs);
-                 aActions.emplace_back(
-                   fleet_event{ "backend_leaves",
-                                { { "backend", aNote.mBackend },
-                                  { "started_at_ms", std::to_string(aNote.mStartedAtMs) },
-                                  { "index", index } } });
-               },
-             },
-             aCommand);
+  std::visit(
+    overloaded{
+      [&](const put_config& aPut) {
+        RefreshConfig(aNow, aActions);
+        aActions.emplace_back(fleet_event{ "config",
+                                           { { "version", std::to_string(aPut.mVersion) },
+                                             { "base", std::to_string(aPut.mBase) },
+                                             { "in_force", std::to_string(mState.GetVersion()) },
+                                             { "index", index },
+                                             { "outcome", outcome } } });
+      },
+      [&](const set_evacuation& aSet) {
+        aActions.emplace_back(fleet_event{ aSet.mIsEvacuated ? "zone_evacuated" : "zone_taken_back",
+                                           { { "zone", aSet.mZone.mValue }, { "index", index } } });
+      },
+      [&](const note_departure& aNote) {
+        mBackends.Remove(aNote.mBackend, aNote.mStartedAtMs);
+        aActions.emplace_back(
+          fleet_event{ "backend_leaves",
+                       { { "backend", aNote.mBackend },
+                         { "started_at_ms", std::to_string(aNote.mStartedAtMs) },
+                         { "index", index } } });
+      },
+    },
+    aCommand);
 }
 
 void fleet_control::RefreshConfig(instant aNow, fleet_actions& aActions)
@@ -328,9 +327,9 @@
     return;
   }
   mLastLeader = mGroup.GetLeaderVm();
-  aActions.emplace_back(fleet_event{ mLastLeader.IsEmpty() ? "leader_lost" : "leader",
-                                     { { "leader", mLastLeader.mValue },
-                                       { "term", std::to_string(mGroup.GetTerm()) } } });
+  aActions.emplace_back(fleet_event{
+    mLastLeader.IsEmpty() ? "leader_lost" : "leader",
+    { { "leader", mLastLeader.mValue }, { "term", std::to_string(mGroup.GetTerm()) } } });
   if (!mGroup.IsLeader()) {
     // What this VM proposed may or may not be decided by the next leader.
     for (auto& [index, pending] : std::exchange(mPending, {})) {
@@ -385,8 +384,8 @@
     return;
   }
   mNextForwardAt = aNow + kForwardInterval;
-  aActions.emplace_back(send_fleet_message{
-    mGroup.GetLeaderVm(), announcement_batch{ std::exchange(mToForward, {}) } });
+  aActions.emplace_back(send_fleet_message{ mGroup.GetLeaderVm(),
+                                            announcement_batch{ std::exchange(mToForward, {}) } });
 }
 
 void fleet_control::SendDirectory(instant aNow, fleet_actions& aActions)
@@ -462,6 +461,9 @@
   update.mEvacuatedZones.assign(mState.GetEvacuatedZones().begin(),
                                 mState.GetEvacuatedZones().end());
   mBackends.WriteNews(aReport.mListEpoch, aReport.mListRevision, aNow, update);
+  if (update.mIsWholeList) {
+    update.mDepartures = mState.ListDepartures(kMaxDeparturesTold);
+  }
   update.mGrants = mLedger.Take(aReport, aNow);
   WritePermits(aReport, aNow, update);
   for (const auto& [fingerprint, record] : mCrashes) {
--- a/src/citronpulley/fleet/fleet_message.h
+++ b/src/citronpulley/fleet/fleet_message.h
@@ -3,6 +3,7 @@
 
 #include "citronpulley/base/digest.h"
 #include "citronpulley/base/result.h"
+#include "citronpulley/fleet/note_departure.h"
 #include "citronpulley/steering/backend_record.h"
 #include "citronpulley/steering/traffic_config.h"
 #include "citronpulley/wire/peer_message.h"
@@ -159,14 +160,7 @@
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mPlace,
-             mIsAccepting,
-             mNumber,
-             mConfig,
-             mListEpoch,
-             mListRevision,
-             mDemands,
-             mCrashes);
+    aArchive(mPlace, mIsAccepting, mNumber, mConfig, mListEpoch, mListRevision, mDemands, mCrashes);
   }
 };
 
@@ -190,6 +184,8 @@
   std::vector<backend_record> mBackends;
   /** Backend servers that left, crashed for long or were replaced. */
   std::vector<std::string> mRemoved;
+  /** With a whole list: starts that left lately, whether or not this leader ever listed them. */
+  std::vector<note_departure> mDepartures;
   std::vector<workspace_grant> mGrants;
   std::vector<warmup_permit> mPermits;
   /** Fingerprints of requests that crash backend servers. */
@@ -210,6 +206,7 @@
              mIsWholeList,
              mBackends,
              mRemoved,
+             mDepartures,
              mGrants,
              mPermits,
              mQuarantined);
--- a/src/citronpulley/fleet/fleet_state.cpp
+++ b/src/citronpulley/fleet/fleet_state.cpp
@@ -79,7 +79,7 @@
   const auto [place, isNew] = mDepartures.try_emplace(aNote.mBackend, aNote.mStartedAtMs);
   if (!isNew) {
     place->second = std::max(place->second, aNote.mStartedAtMs);
-    return fleet_outcome::Accepted;
+    std::erase(mDepartureOrder, aNote.mBackend);
   }
   mDepartureOrder.push_back(aNote.mBackend);
   if (mDepartureOrder.size() > kMaxDepartures) {
@@ -89,6 +89,16 @@
   return fleet_outcome::Accepted;
 }
 
+std::vector<note_departure> fleet_state::ListDepartures(std::size_t aMost) const
+{
+  std::vector<note_departure> list;
+  const std::size_t skipped = mDepartureOrder.size() - std::min(aMost, mDepartureOrder.size());
+  for (std::size_t i = skipped; i < mDepartureOrder.size(); ++i) {
+    list.push_back({ mDepartureOrder[i], mDepartures.at(mDepartureOrder[i]) });
+  }
+  return list;
+}
+
 std::string fleet_state::Encode() const
 {
   return EncodeValue(*this);
--- a/src/citronpulley/fleet/fleet_state.h
+++ b/src/citronpulley/fleet/fleet_state.h
@@ -4,6 +4,7 @@
 #include "citronpulley/base/digest.h"
 #include "citronpulley/base/identifiers.h"
 #include "citronpulley/base/result.h"
+#include "citronpulley/fleet/note_departure.h"
 #include "citronpulley/steering/traffic_config.h"
 #include "citronpulley/wire/consensus_messages.h"
 
@@ -45,19 +46,6 @@
   }
 };
 
-/** One start of a backend server takes no new requests any more. */
-struct note_departure
-{
-  std::string mBackend;
-  std::int64_t mStartedAtMs = 0;
-
-  template<typename Archive>
-  void serialize(Archive& aArchive)
-  {
-    aArchive(mBackend, mStartedAtMs);
-  }
-};
-
 using fleet_command = std::variant<put_config, set_evacuation, note_departure>;
 
 /** Outcome of a command. */
@@ -95,6 +83,9 @@
   /** @return true when the start of the backend server has left */
   bool HasLeft(const std::string& aBackend, std::int64_t aStartedAtMs) const;
 
+  /** @return the latest departures, at most as many as asked for */
+  std::vector<note_departure> ListDepartures(std::size_t aMost) const;
+
   log_index GetIndex() const noexcept { return mIndex; }
   config_version GetVersion() const noexcept { return mVersion; }
   const std::string& GetText() const noexcept { return mText; }
--- a/src/citronpulley/fleet/workspace_ledger.cpp
+++ b/src/citronpulley/fleet/workspace_ledger.cpp
@@ -34,16 +34,14 @@
     place->second.mRate = rule.mRate;
     place->second.mBurst = rule.mBurst;
   }
-  std::erase_if(mAccounts,
-                [&](const auto& aAccount) { return !limited.contains(aAccount.first); });
+  std::erase_if(mAccounts, [&](const auto& aAccount) { return !limited.contains(aAccount.first); });
 }
 
 double workspace_ledger::GetAllowance(const account& aAccount) const
 {
   const double window = static_cast<double>(mBounds.mWindow.count()) / 1e6;
-  const double excess =
-    mBounds.mOverage * (aAccount.mRate * window + aAccount.mBurst) + aAccount.mBurst +
-    mBounds.mSlack;
+  const double excess = mBounds.mOverage * (aAccount.mRate * window + aAccount.mBurst) +
+                        aAccount.mBurst + mBounds.mSlack;
   // Each entry VM may spend a fraction of a token in advance.
   const double advance = static_cast<double>(mHeardAt.size()) * 0.5;
   return std::max(excess * (1 - kMargin) - advance, excess / 4);
--- a/src/citronpulley/gateway/backend_channel.cpp
+++ b/src/citronpulley/gateway/backend_channel.cpp
@@ -84,11 +84,8 @@
       beast::error_code ignored;
       self->mSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
       const unsigned timeout = kUnackedTimeoutMs;
-      ::setsockopt(self->mSocket.native_handle(),
-                   IPPROTO_TCP,
-                   TCP_USER_TIMEOUT,
-                   &timeout,
-                   sizeof(timeout));
+      ::setsockopt(
+        self->mSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
       self->mIsConnected = true;
       self->mIdleUntil = GetBootTime() + self->mIdleTime;
       self->Read();
--- a/src/citronpulley/gateway/backend_connector.cpp
+++ b/src/citronpulley/gateway/backend_connector.cpp
@@ -50,38 +50,37 @@
   if (std::shared_ptr<backend_channel> idle = FindIdle(aTo)) {
     idle->Reserve();
     // Posted, so that the callback never runs inside this call.
-    asio::post(
-      mIo,
-      [idle, isCancelled, query = std::move(aQuery), onEnd = std::move(aOnEnd)]() mutable {
-        if (*isCancelled) {
-          return;
-        }
-        if (idle->IsClosed()) {
-          onEnd(channel_end::NotSent, {});
-          return;
-        }
-        idle->Send(std::move(query), std::move(onEnd));
-      });
+    asio::post(mIo,
+               [idle, isCancelled, query = std::move(aQuery), onEnd = std::move(aOnEnd)]() mutable {
+                 if (*isCancelled) {
+                   return;
+                 }
+                 if (idle->IsClosed()) {
+                   onEnd(channel_end::NotSent, {});
+                   return;
+                 }
+                 idle->Send(std::move(query), std::move(onEnd));
+               });
     return [idle, isCancelled] {
       *isCancelled = true;
       idle->Close();
     };
   }
   const auto holder = std::make_shared<std::weak_ptr<backend_channel>>();
-  const std::shared_ptr<backend_channel> channel = Open(
-    aTo,
-    [holder, isCancelled, query = std::move(aQuery), onEnd = std::move(aOnEnd)](
-      bool aIsConnected) mutable {
-      const std::shared_ptr<backend_channel> opened = holder->lock();
-      if (*isCancelled) {
-        return;
-      }
-      if (!aIsConnected || !opened) {
-        onEnd(channel_end::NotSent, {});
-        return;
-      }
-      opened->Send(std::move(query), std::move(onEnd));
-    });
+  const std::shared_ptr<backend_channel> channel =
+    Open(aTo,
+         [holder, isCancelled, query = std::move(aQuery), onEnd = std::move(aOnEnd)](
+           bool aIsConnected) mutable {
+           const std::shared_ptr<backend_channel> opened = holder->lock();
+           if (*isCancelled) {
+             return;
+           }
+           if (!aIsConnected || !opened) {
+             onEnd(channel_end::NotSent, {});
+             return;
+           }
+           opened->Send(std::move(query), std::move(onEnd));
+         });
   *holder = channel;
   return [holder, isCancelled] {
     *isCancelled = true;
--- a/src/citronpulley/gateway/control_gateway.cpp
+++ b/src/citronpulley/gateway/control_gateway.cpp
@@ -25,6 +25,39 @@
   return (std::uint64_t{ source() } << 32U | source()) | 1U;
 }
 
+std::string_view GetName(const put_config_call&)
+{
+  return "put_config";
+}
+std::string_view GetName(const get_config_call&)
+{
+  return "get_config";
+}
+std::string_view GetName(const evacuation_call&)
+{
+  return "evacuation";
+}
+std::string_view GetName(const announcement_call&)
+{
+  return "announcement";
+}
+std::string_view GetName(const departure_call&)
+{
+  return "departure";
+}
+std::string_view GetName(const resolve_call&)
+{
+  return "resolve";
+}
+std::string_view GetName(const ready_call&)
+{
+  return "ready";
+}
+std::string_view GetName(const unknown_call&)
+{
+  return "unknown";
+}
+
 std::string_view GetIp(std::string_view aAddress)
 {
   return aAddress.substr(0, aAddress.rfind(':'));
@@ -46,6 +79,7 @@
   , mContext(std::make_shared<http_session_context>())
   , mControlListener(mIo, mContext)
   , mDirectoryListener(mIo, mContext)
+  , mMetricsListener(mIo, mMetrics.MakeContext([this] { RefreshGauges(); }))
   , mBus(
       mIo,
       [this](const fleet_message& aMessage, const fleet_bus::reply& aReply) {
@@ -92,8 +126,8 @@
     std::move(recovered.Get()),
     MakeRandomNumber(),
     GetBootTime());
-  mDisk = std::make_unique<disk_writer>(
-    mIo, mStorage, [this](const result<std::uint64_t>& aOutcome) {
+  mDisk =
+    std::make_unique<disk_writer>(mIo, mStorage, [this](const result<std::uint64_t>& aOutcome) {
       if (!aOutcome) {
         mLog.Write("disk_failed", { { "error", aOutcome.GetError().mMessage } }, GetBootTime());
         mControl->TakeStorageFailure();
@@ -120,6 +154,11 @@
   if (status opened = mDirectoryListener.Open(mSettings.mDirectoryAddress); !opened) {
     return opened;
   }
+  if (!mSettings.mMetricsAddress.empty()) {
+    if (status opened = mMetricsListener.Open(mSettings.mMetricsAddress); !opened) {
+      return opened;
+    }
+  }
   mLog.Write("start",
              { { "role", "control" },
                { "address", mSettings.mControl.mSelf.mValue },
@@ -165,6 +204,7 @@
     mNextSlowCheckAt = now + kSlowCheckInterval;
     mControlListener.CheckTime(now);
     mDirectoryListener.CheckTime(now);
+    mMetricsListener.CheckTime(now);
     mBus.CheckTime(now);
     mLog.Flush(now);
   }
@@ -183,27 +223,45 @@
 void control_gateway::Do(fleet_actions& aActions)
 {
   for (fleet_action& action : aActions) {
-    std::visit(overloaded{
-                 [this](send_fleet_message& aSend) { mBus.Send(aSend.mVm, aSend.mMessage); },
-                 [this](storage_batch& aBatch) { mDisk->Store(std::move(aBatch)); },
-                 [this](fleet_event& aEvent) {
-                   mLog.Write(aEvent.mName, aEvent.mDetails, GetBootTime());
-                 },
-               },
-               action);
+    std::visit(
+      overloaded{
+        [this](send_fleet_message& aSend) { mBus.Send(aSend.mVm, aSend.mMessage); },
+        [this](storage_batch& aBatch) { mDisk->Store(std::move(aBatch)); },
+        [this](fleet_event& aEvent) { mLog.Write(aEvent.mName, aEvent.mDetails, GetBootTime()); },
+      },
+      action);
   }
 }
 
+void control_gateway::RefreshGauges()
+{
+  const consensus_group& group = mControl->GetGroup();
+  mMetrics.SetGauge("is_leader", group.IsLeader() ? 1 : 0);
+  mMetrics.SetGauge("term", static_cast<double>(group.GetTerm()));
+  mMetrics.SetGauge("commit_index", static_cast<double>(group.GetCommitIndex()));
+  mMetrics.SetGauge("voters", static_cast<double>(group.GetMembership().CountVoters()));
+  mMetrics.SetGauge("config_version", static_cast<double>(mControl->GetState().GetVersion()));
+  mMetrics.SetGauge("entry_vms", static_cast<double>(mControl->ListEntries(GetBootTime()).size()));
+  mMetrics.SetGauge("log_lines_left_out", static_cast<double>(mLog.GetLeftOut()));
+}
+
 void control_gateway::Answer(const request_ptr& aRequest,
                              unsigned aStatus,
                              std::string_view aMessage)
 {
-  aRequest->Respond(MakeAnswer(aStatus, mDialect->WriteError(aMessage)));
+  Reply(aRequest, MakeAnswer(aStatus, mDialect->WriteError(aMessage)));
+}
+
+void control_gateway::Reply(const request_ptr& aRequest, const http_reply& aReply)
+{
+  mMetrics.CountCall(aRequest->mCall, aReply.mStatus);
+  aRequest->Respond(aReply);
 }
 
 void control_gateway::TakeRequest(const request_ptr& aRequest)
 {
   const control_call call = mDialect->ReadCall(aRequest->mQuery);
+  aRequest->mCall = std::visit([](const auto& aOne) { return GetName(aOne); }, call);
   std::visit(overloaded{
                [&](const unknown_call&) { Answer(aRequest, 404, "no such call"); },
                [&](const ready_call&) { Answer(aRequest, 404, "no such call"); },
@@ -226,7 +284,7 @@
   std::string location = "http://";
   location.append(GetIp(leader.mValue)).append(":");
   location.append(GetPort(mSettings.mControlAddress)).append(aRequest->mQuery.mTarget);
-  aRequest->Respond(MakeAnswer(307, {}, { { "Location", location } }));
+  Reply(aRequest, MakeAnswer(307, {}, { { "Location", location } }));
   return true;
 }
 
@@ -283,7 +341,7 @@
       }
       switch (*aOutcome) {
         case fleet_outcome::Accepted:
-          aRequest->Respond(MakeAnswer(200, "{}"));
+          Reply(aRequest, MakeAnswer(200, "{}"));
           return;
         case fleet_outcome::Conflict:
           Answer(aRequest, 412, "another version is in force");
@@ -311,7 +369,7 @@
       } else if (mControl->GetState().GetVersion() == 0) {
         Answer(aRequest, 404, "there is no configuration yet");
       } else {
-        aRequest->Respond(MakeAnswer(200, mControl->GetState().GetText()));
+        Reply(aRequest, MakeAnswer(200, mControl->GetState().GetText()));
       }
     },
     GetBootTime(),
@@ -331,14 +389,14 @@
   if (record.mIsLeaving) {
     // Acknowledged only once a majority has it: the entry VMs then learn it whatever fails here.
     if (mControl->GetState().HasLeft(record.mId, record.mStartedAtMs)) {
-      aRequest->Respond(MakeAnswer(200, "{}"));
+      Reply(aRequest, MakeAnswer(200, "{}"));
     } else if (!SendToLeader(aRequest)) {
       Submit(aRequest, note_departure{ record.mId, record.mStartedAtMs });
     }
     return;
   }
   mControl->Announce(record, GetBootTime());
-  aRequest->Respond(MakeAnswer(200, "{}"));
+  Reply(aRequest, MakeAnswer(200, "{}"));
 }
 
 void control_gateway::TakeCall(const request_ptr& aRequest, const resolve_call& aCall)
@@ -365,7 +423,7 @@
     Answer(aRequest, 503, "no entry VM is known");
     return;
   }
-  aRequest->Respond(MakeAnswer(200, mDialect->WriteEntries(addresses, kKeepEntriesFor)));
+  Reply(aRequest, MakeAnswer(200, mDialect->WriteEntries(addresses, kKeepEntriesFor)));
 }
 
 } // namespace citronpulley
--- a/src/citronpulley/gateway/control_gateway.h
+++ b/src/citronpulley/gateway/control_gateway.h
@@ -5,6 +5,7 @@
 #include "citronpulley/gateway/disk_writer.h"
 #include "citronpulley/gateway/event_log.h"
 #include "citronpulley/gateway/fleet_bus.h"
+#include "citronpulley/gateway/gateway_metrics.h"
 #include "citronpulley/gateway/http_listener.h"
 #include "citronpulley/gateway/wire_dialect.h"
 #include "citronpulley/storage/posix_file_system.h"
@@ -27,6 +28,8 @@
   std::string mControlAddress;
   /** Address for callers that ask where to connect. */
   std::string mDirectoryAddress;
+  /** Address of the metrics; empty without any. */
+  std::string mMetricsAddress;
   std::string mDataFolder;
   /** True only when the whole deployment starts for the first time. */
   bool mIsFirstStart = false;
@@ -71,6 +74,8 @@
   /** @return true when the request was sent on, because this VM does not lead */
   bool SendToLeader(const request_ptr& aRequest);
   void Answer(const request_ptr& aRequest, unsigned aStatus, std::string_view aMessage);
+  void Reply(const request_ptr& aRequest, const http_reply& aReply);
+  void RefreshGauges();
   void Do(fleet_actions& aActions);
   void Tick();
   void WaitForSignal();
@@ -86,6 +91,8 @@
   std::shared_ptr<http_session_context> mContext;
   http_listener mControlListener;
   http_listener mDirectoryListener;
+  gateway_metrics mMetrics;
+  http_listener mMetricsListener;
   fleet_bus mBus;
   boost::asio::signal_set mSignals;
   boost::asio::steady_timer mTimer;
--- a/src/citronpulley/gateway/disk_writer.cpp
+++ b/src/citronpulley/gateway/disk_writer.cpp
@@ -47,8 +47,8 @@
       batches = std::exchange(mBatches, {});
     }
     const status stored = mStorage.Store(batches);
-    result<std::uint64_t> outcome =
-      stored ? result<std::uint64_t>(batches.back().mNumber) : result<std::uint64_t>(stored.GetError());
+    result<std::uint64_t> outcome = stored ? result<std::uint64_t>(batches.back().mNumber)
+                                           : result<std::uint64_t>(stored.GetError());
     boost::asio::post(mIo, [this, outcome] { mOnStored(outcome); });
   }
 }
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -85,9 +85,10 @@
   , mFrontContext(std::make_shared<http_session_context>())
   , mFront(mIo, mFrontContext)
   , mReady(mIo,
-           std::make_shared<http_session_context>(http_session_context{
-             [] { return caller_limits{}; },
-             [this](const auto& aRequest) { TakeReadyCall(aRequest); } }))
+           std::make_shared<http_session_context>(
+             http_session_context{ [] { return caller_limits{}; },
+                                   [this](const auto& aRequest) { TakeReadyCall(aRequest); } }))
+  , mMetricsListener(mIo, mMetrics.MakeContext([this] { RefreshGauges(); }))
   , mBus(
       mIo,
       [this](const fleet_message& aMessage, const auto&) {
@@ -114,6 +115,11 @@
   if (status opened = mReady.Open(mSettings.mReadyAddress); !opened) {
     return opened;
   }
+  if (!mSettings.mMetricsAddress.empty()) {
+    if (status opened = mMetricsListener.Open(mSettings.mMetricsAddress); !opened) {
+      return opened;
+    }
+  }
   mLog.Write("start",
              { { "role", "entry" },
                { "address", mSettings.mSteering.mPlace.mCallerAddress },
@@ -190,6 +196,7 @@
     mNextSlowCheckAt = now + kIdleTick;
     mFront.CheckTime(now);
     mReady.CheckTime(now);
+    mMetricsListener.CheckTime(now);
     mBus.CheckTime(now);
     mLog.Flush(now);
   }
@@ -220,9 +227,8 @@
 void entry_gateway::TakeRequest(const std::shared_ptr<inbound_request>& aRequest)
 {
   const instant now = GetBootTime();
-  if (mIsStopping &&
-      static_cast<double>((now - mStoppingSince).count()) >
-        kRefuseAfter * static_cast<double>(mSettings.mGrace.count())) {
+  if (mIsStopping && static_cast<double>((now - mStoppingSince).count()) >
+                       kRefuseAfter * static_cast<double>(mSettings.mGrace.count())) {
     Refuse(aRequest, { refusal_reason::Stopping });
     return;
   }
@@ -267,12 +273,11 @@
   aExchange->mAttemptAt = now;
   aExchange->mIsRunning = true;
   mSteering.NoteSent(aExchange->mPlacement, now);
-  aExchange->mCancel =
-    mConnector.Send(aExchange->mPlacement.mAddress,
-                    BuildQuery(*aExchange, now),
-                    [this, aExchange](channel_end aEnd, http_reply aAnswer) {
-                      TakeEnd(aExchange, aEnd, std::move(aAnswer));
-                    });
+  aExchange->mCancel = mConnector.Send(aExchange->mPlacement.mAddress,
+                                       BuildQuery(*aExchange, now),
+                                       [this, aExchange](channel_end aEnd, http_reply aAnswer) {
+                                         TakeEnd(aExchange, aEnd, std::move(aAnswer));
+                                       });
 }
 
 channel_query entry_gateway::BuildQuery(const exchange& aExchange, instant aNow) const
@@ -280,11 +285,10 @@
   const http_query& query = aExchange.mRequest->mQuery;
   http_fields fields;
   for (const http_field& field : query.mFields) {
-    const bool isOwn = IsSameName(field.mName, mNames.mKey) ||
-                       IsSameName(field.mName, mNames.mDeadline) ||
-                       IsSameName(field.mName, mNames.mWorkspace) ||
-                       IsSameName(field.mName, mNames.mExpectedBackend) ||
-                       IsSameName(field.mName, "Expect");
+    const bool isOwn =
+      IsSameName(field.mName, mNames.mKey) || IsSameName(field.mName, mNames.mDeadline) ||
+      IsSameName(field.mName, mNames.mWorkspace) ||
+      IsSameName(field.mName, mNames.mExpectedBackend) || IsSameName(field.mName, "Expect");
     if (!isOwn && !IsConnectionField(query.mFields, field.mName)) {
       fields.push_back(field);
     }
@@ -345,24 +349,19 @@
   if (aEnd == channel_end::Lost) {
     SuspectCrash(*aExchange);
   }
-  const next_step next = mSteering.NoteEnd(aExchange->mTicket,
-                                           aExchange->mPlacement,
-                                           outcome,
-                                           load,
-                                           now - aExchange->mAttemptAt,
-                                           now);
+  const next_step next = mSteering.NoteEnd(
+    aExchange->mTicket, aExchange->mPlacement, outcome, load, now - aExchange->mAttemptAt, now);
+  mMetrics.CountAttempt(ToString(outcome), now - aExchange->mAttemptAt);
   if (outcome != attempt_outcome::Answered && mLog.HasRoom(event_rank::Failure, now)) {
-    const std::string* id = FindField(aExchange->mRequest->mQuery.mFields, mNames.mRequestId);
     mLog.Write("attempt_failed",
-               { { "request", id == nullptr ? std::string() : *id },
+               { { "request", GetId(aExchange->mRequest->mQuery) },
                  { "backend", aExchange->mPlacement.mBackend },
                  { "address", aExchange->mPlacement.mAddress.mValue },
-                 { "outcome", static_cast<int>(outcome) },
+                 { "outcome", ToString(outcome) },
                  { "status", static_cast<int>(aAnswer.mStatus) },
-                 { "took_us",
-                   static_cast<std::int64_t>((now - aExchange->mAttemptAt).count()) },
+                 { "took_us", static_cast<std::int64_t>((now - aExchange->mAttemptAt).count()) },
                  { "attempts", aExchange->mTicket.mAttempts },
-                 { "next", static_cast<int>(next) } },
+                 { "next", ToString(next) } },
                now);
   }
   switch (next) {
@@ -392,22 +391,21 @@
   aAnswer.mFields = std::move(fields);
   const instant now = GetBootTime();
   if (mLog.HasRoom(event_rank::Success, now)) {
-    const std::string* id = FindField(aExchange->mRequest->mQuery.mFields, mNames.mRequestId);
-    mLog.Write("answered",
-               { { "request", id == nullptr ? std::string() : *id },
-                 { "route", aExchange->mTicket.mRoute->mName },
-                 { "affinity", aExchange->mTicket.mPlacement.mAffinityKey.value_or("") },
-                 { "backend", aExchange->mPlacement.mBackend },
-                 { "zone", aExchange->mPlacement.mZone.mValue },
-                 { "status", static_cast<int>(aAnswer.mStatus) },
-                 { "expected_wait_us",
-                   static_cast<std::int64_t>(aExchange->mPlacement.mExpectedWait.count()) },
-                 { "attempt_us",
-                   static_cast<std::int64_t>((now - aExchange->mAttemptAt).count()) },
-                 { "total_us",
-                   static_cast<std::int64_t>((now - aExchange->mRequest->mReadAt).count()) } },
-               now);
-  }
+    mLog.Write(
+      "answered",
+      { { "request", GetId(aExchange->mRequest->mQuery) },
+        { "route", aExchange->mTicket.mRoute->mName },
+        { "affinity", aExchange->mTicket.mPlacement.mAffinityKey.value_or("") },
+        { "backend", aExchange->mPlacement.mBackend },
+        { "zone", aExchange->mPlacement.mZone.mValue },
+        { "status", static_cast<int>(aAnswer.mStatus) },
+        { "expected_wait_us",
+          static_cast<std::int64_t>(aExchange->mPlacement.mExpectedWait.count()) },
+        { "attempt_us", static_cast<std::int64_t>((now - aExchange->mAttemptAt).count()) },
+        { "total_us", static_cast<std::int64_t>((now - aExchange->mRequest->mReadAt).count()) } },
+      now);
+  }
+  mMetrics.CountRequest("answered", now - aExchange->mRequest->mReadAt);
   aExchange->mRequest->Respond(aAnswer);
   Forget(aExchange);
 }
@@ -418,18 +416,19 @@
   const instant now = GetBootTime();
   const std::string* id = FindField(aRequest->mQuery.mFields, mNames.mRequestId);
   if (mLog.HasRoom(event_rank::Failure, now)) {
-    mLog.Write("refused",
-               { { "request", id == nullptr ? std::string() : *id },
-                 { "reason", ToString(aRefusal.mReason) },
-                 { "workspace", aRefusal.mWorkspace.mValue },
-                 { "config",
-                   static_cast<std::uint64_t>(
-                     mSteering.GetConfig() ? mSteering.GetConfig()->GetConfig().mVersion : 0) },
-                 { "fresh_for_us",
-                   static_cast<std::int64_t>((mSteering.GetFreshUntil() - now).count()) },
-                 { "held_us", static_cast<std::int64_t>((now - aRequest->mReadAt).count()) } },
-               now);
-  }
+    mLog.Write(
+      "refused",
+      { { "request", id == nullptr ? std::string() : *id },
+        { "reason", ToString(aRefusal.mReason) },
+        { "workspace", aRefusal.mWorkspace.mValue },
+        { "config",
+          static_cast<std::uint64_t>(
+            mSteering.GetConfig() ? mSteering.GetConfig()->GetConfig().mVersion : 0) },
+        { "fresh_for_us", static_cast<std::int64_t>((mSteering.GetFreshUntil() - now).count()) },
+        { "held_us", static_cast<std::int64_t>((now - aRequest->mReadAt).count()) } },
+      now);
+  }
+  mMetrics.CountRequest(ToString(aRefusal.mReason), now - aRequest->mReadAt);
   http_fields fields;
   if (id != nullptr) {
     fields.push_back({ mNames.mRequestId, *id });
@@ -453,28 +452,52 @@
 void entry_gateway::Abandon(const exchange_ptr& aExchange)
 {
   const instant now = GetBootTime();
-  if (aExchange->mIsRunning) {
-    aExchange->mIsRunning = false;
-    aExchange->mCancel();
-    mSteering.NoteEnd(aExchange->mTicket,
-                      aExchange->mPlacement,
-                      attempt_outcome::Abandoned,
-                      std::nullopt,
-                      now - aExchange->mAttemptAt,
-                      now);
-  }
+  EndAttempt(*aExchange, attempt_outcome::Abandoned, now);
+  mMetrics.CountRequest("caller_left", now - aExchange->mRequest->mReadAt);
   if (mLog.HasRoom(event_rank::Failure, now)) {
-    const std::string* id = FindField(aExchange->mRequest->mQuery.mFields, mNames.mRequestId);
-    mLog.Write("caller_left",
-               { { "request", id == nullptr ? std::string() : *id },
-                 { "backend", aExchange->mPlacement.mBackend },
-                 { "held_us",
-                   static_cast<std::int64_t>((now - aExchange->mRequest->mReadAt).count()) } },
-               now);
+    mLog.Write(
+      "caller_left",
+      { { "request", GetId(aExchange->mRequest->mQuery) },
+        { "backend", aExchange->mPlacement.mBackend },
+        { "held_us", static_cast<std::int64_t>((now - aExchange->mRequest->mReadAt).count()) } },
+      now);
   }
   Forget(aExchange);
 }
 
+void entry_gateway::EndAttempt(exchange& aExchange, attempt_outcome aOutcome, instant aNow)
+{
+  if (!aExchange.mIsRunning) {
+    return;
+  }
+  aExchange.mIsRunning = false;
+  aExchange.mCancel();
+  const microseconds took = aNow - aExchange.mAttemptAt;
+  mSteering.NoteEnd(aExchange.mTicket, aExchange.mPlacement, aOutcome, std::nullopt, took, aNow);
+  mMetrics.CountAttempt(ToString(aOutcome), took);
+}
+
+std::string entry_gateway::GetId(const http_query& aQuery) const
+{
+  const std::string* id = FindField(aQuery.mFields, mNames.mRequestId);
+  return id == nullptr ? std::string() : *id;
+}
+
+void entry_gateway::RefreshGauges()
+{
+  const instant now = GetBootTime();
+  const auto& config = mSteering.GetConfig();
+  mMetrics.SetGauge("open_requests", static_cast<double>(mExchanges.size()));
+  mMetrics.SetGauge("caller_connections", static_cast<double>(mFront.CountSessions()));
+  mMetrics.SetGauge("backend_connections_opened", static_cast<double>(mConnector.GetOpened()));
+  mMetrics.SetGauge("backend_servers", static_cast<double>(mSteering.GetPool().GetCount()));
+  mMetrics.SetGauge("config_version",
+                    config ? static_cast<double>(config->GetConfig().mVersion) : 0);
+  mMetrics.SetGauge("fresh_seconds",
+                    static_cast<double>((mSteering.GetFreshUntil() - now).count()) / 1e6);
+  mMetrics.SetGauge("log_lines_left_out", static_cast<double>(mLog.GetLeftOut()));
+}
+
 void entry_gateway::CheckDeadlines(instant aNow)
 {
   std::vector<exchange_ptr> late;
@@ -487,16 +510,7 @@
     if (!mExchanges.contains(exchange)) {
       continue;
     }
-    if (exchange->mIsRunning) {
-      exchange->mIsRunning = false;
-      exchange->mCancel();
-      mSteering.NoteEnd(exchange->mTicket,
-                        exchange->mPlacement,
-                        attempt_outcome::TimedOut,
-                        std::nullopt,
-                        aNow - exchange->mAttemptAt,
-                        aNow);
-    }
+    EndAttempt(*exchange, attempt_outcome::TimedOut, aNow);
     RefuseExchange(exchange, refusal_reason::TimedOut);
   }
 }
@@ -512,26 +526,25 @@
   }
   suspicion.mPlacement = aExchange.mPlacement;
   // A lost connection alone is no crash: only a backend server that is gone has crashed.
-  mConnector.Probe(suspicion.mPlacement.mAddress,
-                   [this, address = suspicion.mPlacement.mAddress](bool aIsReachable) {
-                     const auto found = mSuspicions.extract(address);
-                     if (found.empty() || aIsReachable) {
-                       return;
-                     }
-                     const placement& place = found.mapped().mPlacement;
-                     const std::string start =
-                       place.mBackend + "/" + std::to_string(place.mStartedAtMs);
-                     for (const digest& one : found.mapped().mFingerprints) {
-                       mSteering.NoteCrash(one, start);
-                     }
-                     mLog.Write("backend_crashed",
-                                { { "backend", start },
-                                  { "address", address.mValue },
-                                  { "requests",
-                                    static_cast<std::uint64_t>(
-                                      found.mapped().mFingerprints.size()) } },
-                                GetBootTime());
-                   });
+  mConnector.Probe(
+    suspicion.mPlacement.mAddress,
+    [this, address = suspicion.mPlacement.mAddress](bool aIsReachable) {
+      const auto found = mSuspicions.extract(address);
+      if (found.empty() || aIsReachable) {
+        return;
+      }
+      const placement& place = found.mapped().mPlacement;
+      const std::string start = place.mBackend + "/" + std::to_string(place.mStartedAtMs);
+      for (const digest& one : found.mapped().mFingerprints) {
+        mSteering.NoteCrash(one, start);
+      }
+      mLog.Write(
+        "backend_crashed",
+        { { "backend", start },
+          { "address", address.mValue },
+          { "requests", static_cast<std::uint64_t>(found.mapped().mFingerprints.size()) } },
+        GetBootTime());
+    });
 }
 
 } // namespace citronpulley
--- a/src/citronpulley/gateway/entry_gateway.h
+++ b/src/citronpulley/gateway/entry_gateway.h
@@ -6,6 +6,7 @@
 #include "citronpulley/gateway/control_subscription.h"
 #include "citronpulley/gateway/event_log.h"
 #include "citronpulley/gateway/fleet_bus.h"
+#include "citronpulley/gateway/gateway_metrics.h"
 #include "citronpulley/gateway/http_listener.h"
 #include "citronpulley/gateway/wire_dialect.h"
 
@@ -31,6 +32,8 @@
   std::vector<vm_name> mControlVms;
   /** Address at which the platform asks whether this VM is ready. */
   std::string mReadyAddress;
+  /** Address of the metrics; empty without any. */
+  std::string mMetricsAddress;
   /** Time from the signal to stop to the end. */
   microseconds mGrace{ 6'000'000 };
 };
@@ -76,6 +79,9 @@
   void Abandon(const exchange_ptr& aExchange);
   void Forget(const exchange_ptr& aExchange) { mExchanges.erase(aExchange); }
   void CheckDeadlines(instant aNow);
+  void EndAttempt(exchange& aExchange, attempt_outcome aOutcome, instant aNow);
+  std::string GetId(const http_query& aQuery) const;
+  void RefreshGauges();
   void SuspectCrash(const exchange& aExchange);
   digest GetFingerprint(const http_query& aQuery, const workspace_name& aWorkspace) const;
   void TakeReadyCall(const std::shared_ptr<inbound_request>& aRequest);
@@ -95,6 +101,8 @@
   std::shared_ptr<http_session_context> mFrontContext;
   http_listener mFront;
   http_listener mReady;
+  gateway_metrics mMetrics;
+  http_listener mMetricsListener;
   fleet_bus mBus;
   control_subscription mSubscription;
   boost::asio::signal_set mSignals;
--- a/src/citronpulley/gateway/event_log.h
+++ b/src/citronpulley/gateway/event_log.h
@@ -16,7 +16,7 @@
 class event_value
 {
 public:
-  event_value(std::string_view aText); // NOLINT(google-explicit-constructor)
+  event_value(std::string_view aText);  // NOLINT(google-explicit-constructor)
   event_value(const std::string& aText) // NOLINT(google-explicit-constructor)
     : event_value(std::string_view(aText))
   {
--- a/src/citronpulley/gateway/frame_connection.cpp
+++ b/src/citronpulley/gateway/frame_connection.cpp
@@ -23,8 +23,7 @@
   boost::system::error_code ignored;
   mSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
   const unsigned timeout = kUnackedTimeoutMs;
-  ::setsockopt(
-    mSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+  ::setsockopt(mSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
   mIsStarted = true;
   ReadLength();
   Write();
--- a/src/citronpulley/gateway/gateway_settings.cpp
+++ b/src/citronpulley/gateway/gateway_settings.cpp
@@ -116,6 +116,7 @@
       place.mRegion = region_name(Read<std::string>(aTable, "region"));
       place.mCallerAddress = Read<std::string>(aTable, "caller_address");
       aSettings.mReadyAddress = Read<std::string>(aTable, "ready_address");
+      aSettings.mMetricsAddress = aTable["metrics_address"].value_or(std::string());
       aSettings.mControlVms = ReadSeeds(aTable);
       aSettings.mGrace = ReadTime(aTable, "bounds.grace", aSettings.mGrace);
       aSettings.mSteering.mLease = ReadLease(aTable);
@@ -142,6 +143,7 @@
       quota.mWindow = ReadTime(aTable, "bounds.rate_window", quota.mWindow);
       quota.mOverage = aTable.at_path("bounds.rate_overage").value_or(quota.mOverage);
       quota.mSlack = aTable.at_path("bounds.rate_slack").value_or(quota.mSlack);
+      aSettings.mMetricsAddress = aTable["metrics_address"].value_or(std::string());
       aSettings.mControlAddress = Read<std::string>(aTable, "control_address");
       aSettings.mDirectoryAddress = Read<std::string>(aTable, "directory_address");
       aSettings.mDataFolder = Read<std::string>(aTable, "data_folder");
--- a/src/citronpulley/gateway/http_message.cpp
+++ b/src/citronpulley/gateway/http_message.cpp
@@ -10,9 +10,16 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> kConnectionFields{
-  "Connection",          "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate",
-  "Proxy-Authorization", "TE",         "Trailer",           "Transfer-Encoding",
-  "Upgrade",             "Content-Length",
+  "Connection",
+  "Keep-Alive",
+  "Proxy-Connection",
+  "Proxy-Authenticate",
+  "Proxy-Authorization",
+  "TE",
+  "Trailer",
+  "Transfer-Encoding",
+  "Upgrade",
+  "Content-Length",
 };
 
 constexpr std::array<std::pair<unsigned, std::string_view>, 20> kReasons{ {
--- a/src/citronpulley/gateway/http_session.cpp
+++ b/src/citronpulley/gateway/http_session.cpp
@@ -119,8 +119,8 @@
 
 void http_session::TakeBytes()
 {
-  while (!mIsEnding && !mIsClosed && mParser->mBuffer.size() > 0 &&
-         mQueue.size() < kMaxPipelined && ParseOne()) {
+  while (!mIsEnding && !mIsClosed && mParser->mBuffer.size() > 0 && mQueue.size() < kMaxPipelined &&
+         ParseOne()) {
   }
 }
 
@@ -200,21 +200,20 @@
 {
   mIsWriting = true;
   mActiveAt = GetBootTime();
-  asio::async_write(
-    mSocket,
-    asio::buffer(mOut),
-    [self = shared_from_this()](const beast::error_code& aError, std::size_t) {
-      self->mIsWriting = false;
-      self->mOut.clear();
-      if (self->mIsClosed) {
-        return;
-      }
-      if (aError) {
-        self->Close();
-        return;
-      }
-      self->FinishWriting();
-    });
+  asio::async_write(mSocket,
+                    asio::buffer(mOut),
+                    [self = shared_from_this()](const beast::error_code& aError, std::size_t) {
+                      self->mIsWriting = false;
+                      self->mOut.clear();
+                      if (self->mIsClosed) {
+                        return;
+                      }
+                      if (aError) {
+                        self->Close();
+                        return;
+                      }
+                      self->FinishWriting();
+                    });
 }
 
 void http_session::FinishWriting()
@@ -255,8 +254,8 @@
     return;
   }
   if (mParser->mMessage) {
-    const bool isHeaderLate = !mParser->mMessage->is_header_done() &&
-                              mMessageSince + limits.mHeaderTimeout <= aNow;
+    const bool isHeaderLate =
+      !mParser->mMessage->is_header_done() && mMessageSince + limits.mHeaderTimeout <= aNow;
     if (isHeaderLate || mActiveAt + kTransferTimeout <= aNow) {
       RejectBytes(408);
     }
--- a/src/citronpulley/gateway/http_session.h
+++ b/src/citronpulley/gateway/http_session.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace citronpulley {
 
@@ -38,6 +39,8 @@
 
   http_query mQuery;
   instant mReadAt;
+  /** Kind of call, for metrics. */
+  std::string_view mCall = "unknown";
   /** Called once if the caller leaves before the response. */
   std::function<void()> mOnAbandoned;
 
@@ -72,7 +75,8 @@
   /** Time for which a client may take to read a response or send a body. */
   static constexpr microseconds kTransferTimeout{ 10'000'000 };
 
-  http_session(boost::asio::ip::tcp::socket aSocket, std::shared_ptr<http_session_context> aContext);
+  http_session(boost::asio::ip::tcp::socket aSocket,
+               std::shared_ptr<http_session_context> aContext);
   ~http_session();
   http_session(const http_session&) = delete;
   http_session& operator=(const http_session&) = delete;
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -24,7 +24,8 @@
 /** Weight of one response in the means. */
 constexpr double kMeanWeight = 0.1;
 constexpr double kFailureWeight = 0.15;
-/** Time in which an unused judgement of failures halves, so that a backend server is tried again. */
+/** Time in which an unused judgement of failures halves, so that a backend server is tried again.
+ */
 constexpr double kFailureHalfLifeUs = 4'000'000;
 /** Time in which the part of a load report that this VM did not cause loses most of its meaning. */
 constexpr double kReportLifeUs = 1'500'000;
@@ -69,6 +70,29 @@
 
 } // namespace
 
+std::string_view ToString(attempt_outcome aOutcome) noexcept
+{
+  switch (aOutcome) {
+    case attempt_outcome::Answered:
+      return "answered";
+    case attempt_outcome::Failed:
+      return "failed";
+    case attempt_outcome::NotSent:
+      return "not_sent";
+    case attempt_outcome::NotExecuted:
+      return "not_executed";
+    case attempt_outcome::WrongInstance:
+      return "wrong_instance";
+    case attempt_outcome::Lost:
+      return "lost";
+    case attempt_outcome::TimedOut:
+      return "timed_out";
+    case attempt_outcome::Abandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
 backend_pool::backend_pool(zone_name aZone, std::map<zone_name, region_name> aRegions)
   : mZone(std::move(aZone))
   , mRegions(std::move(aRegions))
@@ -123,6 +147,14 @@
   }
 }
 
+void backend_pool::RemoveStart(const std::string& aBackend, std::int64_t aStartedAtMs)
+{
+  const auto found = mBackends.find(aBackend);
+  if (found != mBackends.end() && found->second.mRecord.mStartedAtMs <= aStartedAtMs) {
+    Remove(aBackend);
+  }
+}
+
 void backend_pool::SetEvacuatedZones(std::set<zone_name> aZones, instant aNow)
 {
   for (const zone_name& zone : mEvacuatedZones) {
@@ -185,8 +217,7 @@
                               const placement_request& aRequest,
                               instant aNow) const
 {
-  const double mean =
-    aService.mServiceTimeUs > 0 ? aService.mServiceTimeUs : kDefaultServiceTimeUs;
+  const double mean = aService.mServiceTimeUs > 0 ? aService.mServiceTimeUs : kDefaultServiceTimeUs;
   const double slots = std::max(1.0, static_cast<double>(aBackend.mRecord.mSlots));
   const double load = EstimateLoad(aBackend, aNow);
   double score = std::max(0.0, load + 1 - slots) / slots * mean;
@@ -198,8 +229,7 @@
     // With a key, all VMs of the region must come to the same choice.
     score += kOtherZoneUs;
   }
-  score += GetFailureRate(aBackend, aNow) *
-           (aRequest.mIsIdempotent ? kFailureUs : kFinalFailureUs);
+  score += GetFailureRate(aBackend, aNow) * (aRequest.mIsIdempotent ? kFailureUs : kFinalFailureUs);
   // A single backend server far slower than its peers is slow itself; less is noise.
   score += std::max(0.0, aBackend.mServiceTimeUs - 2 * mean);
   if (aRequest.mAffinityKey) {
@@ -238,7 +268,8 @@
   if (aRequest.mAffinityKey) {
     return HashUnit(*aRequest.mAffinityKey, mRegion.mValue) < aService.mSpill;
   }
-  const auto spilled = static_cast<std::uint64_t>(static_cast<double>(++mChoices) * aService.mSpill);
+  const auto spilled =
+    static_cast<std::uint64_t>(static_cast<double>(++mChoices) * aService.mSpill);
   return spilled != static_cast<std::uint64_t>(static_cast<double>(mChoices - 1) * aService.mSpill);
 }
 
--- a/src/citronpulley/steering/backend_pool.h
+++ b/src/citronpulley/steering/backend_pool.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace citronpulley {
@@ -44,6 +45,9 @@
   Abandoned,
 };
 
+/** @return name of the outcome in logs and metrics */
+std::string_view ToString(attempt_outcome aOutcome) noexcept;
+
 /** Where a request may go. */
 struct placement_request
 {
@@ -93,6 +97,9 @@
 
   void Remove(const std::string& aBackend);
 
+  /** Removes a start of a backend server and any older one. */
+  void RemoveStart(const std::string& aBackend, std::int64_t aStartedAtMs);
+
   /** Replaces the zones that get no requests; a zone that is taken back counts as cold. */
   void SetEvacuatedZones(std::set<zone_name> aZones, instant aNow);
 
--- a/src/citronpulley/steering/backend_record.h
+++ b/src/citronpulley/steering/backend_record.h
@@ -31,15 +31,8 @@
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mId,
-             mService,
-             mAddress,
-             mZone,
-             mSlots,
-             mIsLeaving,
-             mStartedAtMs,
-             mSequence,
-             mWarmupLeftMs);
+    aArchive(
+      mId, mService, mAddress, mZone, mSlots, mIsLeaving, mStartedAtMs, mSequence, mWarmupLeftMs);
   }
 };
 
--- /dev/null
+++ b/src/citronpulley/steering/steering.h
@@ -0,0 +1,17 @@
+#ifndef CITRONPULLEY_STEERING_STEERING_H
+#define CITRONPULLEY_STEERING_STEERING_H
+
+/**
+ * @file
+ * Overview of the module `steering`: what an entry VM needs to send a request straight to a backend
+ * server. `traffic_config` and `route_index` say what may run, `backend_pool` where, and
+ * `workspace_meter` how much. All of it is pure.
+ */
+
+#include "citronpulley/steering/backend_pool.h"
+#include "citronpulley/steering/backend_record.h"
+#include "citronpulley/steering/route_index.h"
+#include "citronpulley/steering/traffic_config.h"
+#include "citronpulley/steering/workspace_meter.h"
+
+#endif
--- a/src/citronpulley/steering/workspace_meter.cpp
+++ b/src/citronpulley/steering/workspace_meter.cpp
@@ -37,8 +37,8 @@
 {
   const instant from = std::max(aAccount.mFilledAt, mAnsweredAt + kSilence);
   if (from < aNow && aAccount.mTokens < aAccount.mMost) {
-    aAccount.mTokens = std::min(
-      aAccount.mMost, aAccount.mTokens + aAccount.mSilentRate * ToSeconds(aNow - from));
+    aAccount.mTokens =
+      std::min(aAccount.mMost, aAccount.mTokens + aAccount.mSilentRate * ToSeconds(aNow - from));
   }
   aAccount.mFilledAt = aNow;
 }
--- a/tests/fleet/entry_steering_test.cpp
+++ b/tests/fleet/entry_steering_test.cpp
@@ -172,9 +172,8 @@
 TEST(entry_steering, a_request_that_did_not_run_is_sent_again)
 {
   Update(1);
-  for (const attempt_outcome outcome : { attempt_outcome::NotSent,
-                                         attempt_outcome::NotExecuted,
-                                         attempt_outcome::WrongInstance }) {
+  for (const attempt_outcome outcome :
+       { attempt_outcome::NotSent, attempt_outcome::NotExecuted, attempt_outcome::WrongInstance }) {
     admission_ticket ticket = GetTicket("/post/x");
     CHECK(next_step::TryAgain == Attempt(ticket, outcome));
     CHECK_FALSE(ticket.mMayHaveRun);
@@ -226,6 +225,24 @@
   LONGS_EQUAL(100, other);
 }
 
+/**
+ * Guards against requests to a backend server whose departure was acknowledged by a former leader:
+ * the new one has never listed it and has heard of too few others to clear the list.
+ */
+TEST(entry_steering, a_departure_holds_although_the_new_leader_never_knew_the_backend_server)
+{
+  Update(1);
+  entry_update update;
+  update.mNumber = mSteering.MakeReport(true, mNow).mNumber;
+  update.mIsConfirmed = true;
+  update.mConfig = 1;
+  update.mListEpoch = 2;
+  update.mIsWholeList = true;
+  update.mDepartures = { { "i-1", 0 }, { "i-2", 0 } };
+  mSteering.Take(update, mNow, mNow);
+  LONGS_EQUAL(1, mSteering.GetPool().GetCount());
+}
+
 /** Guards against a request that crashes one backend server after the other. */
 TEST(entry_steering, a_quarantined_request_is_refused)
 {
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -110,8 +110,8 @@
   CHECK(std::holds_alternative<unknown_call>(mDialect.ReadCall(MakeQuery("POST", "/-/other"))));
   CHECK(std::holds_alternative<unknown_call>(
     mDialect.ReadCall(MakeQuery("POST", "/-/instances//heartbeat"))));
-  const auto resolve =
-    std::get<resolve_call>(mDialect.ReadCall(MakeQuery("GET", "/-/resolve?Name=x&Region=r&Zone=z")));
+  const auto resolve = std::get<resolve_call>(
+    mDialect.ReadCall(MakeQuery("GET", "/-/resolve?Name=x&Region=r&Zone=z")));
   STRCMP_EQUAL("z", resolve.mZone.mValue.c_str());
   STRCMP_EQUAL("r", resolve.mRegion.mValue.c_str());
   const auto evacuation =
--- a/tests/steering/traffic_config_test.cpp
+++ b/tests/steering/traffic_config_test.cpp
@@ -40,7 +40,8 @@
   POINTERS_EQUAL(nullptr, index.FindRoute("other.example", "/a/x"));
 }
 
-/** Guards against a copy of the index whose look-ups refer to the texts of another configuration. */
+/** Guards against a copy of the index whose look-ups refer to the texts of another configuration.
+ */
 TEST(traffic_config, finds_the_workspace_of_a_key)
 {
   traffic_config config = MakeConfig();
