--- a/src/citronpulley/consensus/consensus_group.h
+++ b/src/citronpulley/consensus/consensus_group.h
@@ -13,6 +13,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -136,7 +137,7 @@
   void Compact(std::string aState, group_actions& aActions);
 
   /** Replaces the VMs that are asked for admission. */
-  void SetControlVms(std::vector<vm_name> aControlVms) { mSettings.mControlVms = aControlVms; }
+  void SetControlVms(std::vector<vm_name> aControlVms) { mSettings.mControlVms = std::move(aControlVms); }
 
   bool IsLeader() const noexcept { return mRole == role::Leader; }
 
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -352,17 +352,8 @@
   const next_step next = mSteering.NoteEnd(
     aExchange->mTicket, aExchange->mPlacement, outcome, load, now - aExchange->mAttemptAt, now);
   mMetrics.CountAttempt(ToString(outcome), now - aExchange->mAttemptAt);
-  if (outcome != attempt_outcome::Answered && mLog.HasRoom(event_rank::Failure, now)) {
-    mLog.Write("attempt_failed",
-               { { "request", GetId(aExchange->mRequest->mQuery) },
-                 { "backend", aExchange->mPlacement.mBackend },
-                 { "address", aExchange->mPlacement.mAddress.mValue },
-                 { "outcome", ToString(outcome) },
-                 { "status", static_cast<int>(aAnswer.mStatus) },
-                 { "took_us", static_cast<std::int64_t>((now - aExchange->mAttemptAt).count()) },
-                 { "attempts", aExchange->mTicket.mAttempts },
-                 { "next", ToString(next) } },
-               now);
+  if (outcome != attempt_outcome::Answered) {
+    LogFailedAttempt(*aExchange, outcome, aAnswer.mStatus, ToString(next), now);
   }
   switch (next) {
     case next_step::PassOn:
@@ -390,7 +381,8 @@
   }
   aAnswer.mFields = std::move(fields);
   const instant now = GetBootTime();
-  if (mLog.HasRoom(event_rank::Success, now)) {
+  const event_rank rank = aAnswer.mStatus < 400 ? event_rank::Success : event_rank::Failure;
+  if (mLog.HasRoom(rank, now)) {
     mLog.Write(
       "answered",
       { { "request", GetId(aExchange->mRequest->mQuery) },
@@ -475,6 +467,32 @@
   const microseconds took = aNow - aExchange.mAttemptAt;
   mSteering.NoteEnd(aExchange.mTicket, aExchange.mPlacement, aOutcome, std::nullopt, took, aNow);
   mMetrics.CountAttempt(ToString(aOutcome), took);
+  LogFailedAttempt(aExchange, aOutcome, 0, ToString(next_step::Fail), aNow);
+}
+
+void entry_gateway::LogFailedAttempt(const exchange& aExchange,
+                                     attempt_outcome aOutcome,
+                                     unsigned aStatus,
+                                     std::string_view aNext,
+                                     instant aNow)
+{
+  if (!mLog.HasRoom(event_rank::Failure, aNow)) {
+    return;
+  }
+  mLog.Write(
+    "attempt_failed",
+    { { "request", GetId(aExchange.mRequest->mQuery) },
+      { "route", aExchange.mTicket.mRoute->mName },
+      { "backend", aExchange.mPlacement.mBackend },
+      { "address", aExchange.mPlacement.mAddress.mValue },
+      { "zone", aExchange.mPlacement.mZone.mValue },
+      { "outcome", ToString(aOutcome) },
+      { "status", static_cast<int>(aStatus) },
+      { "expected_wait_us", static_cast<std::int64_t>(aExchange.mPlacement.mExpectedWait.count()) },
+      { "took_us", static_cast<std::int64_t>((aNow - aExchange.mAttemptAt).count()) },
+      { "attempts", aExchange.mTicket.mAttempts },
+      { "next", aNext } },
+    aNow);
 }
 
 std::string entry_gateway::GetId(const http_query& aQuery) const
--- a/src/citronpulley/gateway/entry_gateway.h
+++ b/src/citronpulley/gateway/entry_gateway.h
@@ -80,6 +80,11 @@
   void Forget(const exchange_ptr& aExchange) { mExchanges.erase(aExchange); }
   void CheckDeadlines(instant aNow);
   void EndAttempt(exchange& aExchange, attempt_outcome aOutcome, instant aNow);
+  void LogFailedAttempt(const exchange& aExchange,
+                        attempt_outcome aOutcome,
+                        unsigned aStatus,
+                        std::string_view aNext,
+                        instant aNow);
   std::string GetId(const http_query& aQuery) const;
   void RefreshGauges();
   void SuspectCrash(const exchange& aExchange);
