Tell loads of busy targets to all entry VMs through the leader

Cause: on grown deployments an entry VM hears of a target less than once in several seconds, so queues form at targets with many keys and nobody sees them. Ruled out: a longer life of reports, which also avoids targets that are free again. Change: reports carry the loads that responses stated, updates those of targets that are nearly full. Test a_load_that_another_vm_saw_counts_until_an_own_report_is_newer.

--- a/src/citronpulley/fleet/backend_registry.cpp
+++ b/src/citronpulley/fleet/backend_registry.cpp
@@ -10,6 +10,11 @@
 /** Announcements shorten the remaining warm-up each time; only a real change counts as news. */
 constexpr microseconds kWarmupTolerance{ 500'000 };
 
+/** Use of the slots from which on a load is told to all entry VMs. */
+constexpr double kBusy = 0.8;
+/** Age after which a load says nothing any more. */
+constexpr microseconds kLoadLife{ 1'500'000 };
+
 bool IsSameButTime(const backend_record& aLeft, const backend_record& aRight)
 {
   return std::tie(aLeft.mService,
@@ -99,6 +104,27 @@
   }
 }
 
+void backend_registry::TakeLoad(const backend_load& aLoad, instant aNow)
+{
+  const auto found = mEntries.find(aLoad.mBackend);
+  const instant at = aNow - microseconds(aLoad.mAge);
+  if (found != mEntries.end() && at > found->second.mLoadAt) {
+    found->second.mLoad = aLoad.mRequests;
+    found->second.mLoadAt = at;
+  }
+}
+
+std::vector<backend_load> backend_registry::ListBusy(instant aNow) const
+{
+  std::vector<backend_load> list;
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.mLoadAt + kLoadLife > aNow && entry.mLoad >= kBusy * entry.mRecord.mSlots) {
+      list.push_back({ id, entry.mLoad, (aNow - entry.mLoadAt).count() });
+    }
+  }
+  return list;
+}
+
 void backend_registry::Expire(instant aNow)
 {
   std::vector<std::string> silent;
--- a/src/citronpulley/fleet/backend_registry.h
+++ b/src/citronpulley/fleet/backend_registry.h
@@ -41,6 +41,12 @@
   /** Removes a start of a backend server that left, and any older one. */
   void Remove(const std::string& aBackend, std::int64_t aStartedAtMs);
 
+  /** Takes a load that an entry VM saw. */
+  void TakeLoad(const backend_load& aLoad, instant aNow);
+
+  /** @return recent loads of backend servers that are nearly or more than full */
+  std::vector<backend_load> ListBusy(instant aNow) const;
+
   /** Forgets backend servers that are silent for long. */
   void Expire(instant aNow);
 
@@ -68,6 +74,8 @@
     instant mHeardAt;
     instant mColdUntil;
     std::uint64_t mRevision = 0;
+    double mLoad = 0;
+    instant mLoadAt;
   };
 
   static backend_record Present(const entry& aEntry, instant aNow);
--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -86,6 +86,9 @@
     report.mDemands.push_back({ account.mWorkspace, account.mDemand, account.mTokens });
   }
   report.mCrashes = std::exchange(mCrashes, {});
+  for (const backend_pool::seen_load& load : mPool.TakeSeenLoads()) {
+    report.mLoads.push_back({ load.mBackend, load.mRequests, (aNow - load.mSeenAt).count() });
+  }
   return report;
 }
 
@@ -120,6 +123,9 @@
     rates.emplace(permit.mBackend, permit.mRate);
   }
   mPool.SetWarmupRates(std::move(rates));
+  for (const backend_load& load : aUpdate.mLoads) {
+    mPool.TakeLoad({ load.mBackend, load.mRequests, aNow - microseconds(load.mAge) });
+  }
   mQuarantined = { aUpdate.mQuarantined.begin(), aUpdate.mQuarantined.end() };
   return isNewConfig;
 }
--- a/src/citronpulley/fleet/fleet_control.cpp
+++ b/src/citronpulley/fleet/fleet_control.cpp
@@ -452,6 +452,10 @@
   }
   mEntries.Take(aReport, aNow);
   NoteCrashes(aReport, aNow, aActions);
+  for (const backend_load& load : aReport.mLoads) {
+    mBackends.TakeLoad(load, aNow);
+  }
+  update.mLoads = mBackends.ListBusy(aNow);
   update.mIsConfirmed = true;
   update.mProofAge = (aNow - *mGroup.GetConfirmedAt()).count();
   update.mConfig = mState.GetVersion();
--- a/src/citronpulley/fleet/fleet_message.h
+++ b/src/citronpulley/fleet/fleet_message.h
@@ -96,6 +96,21 @@
   }
 };
 
+/** Requests that run and wait on a backend server, as one of its responses stated. */
+struct backend_load
+{
+  std::string mBackend;
+  double mRequests = 0;
+  /** Time since the response, in microseconds, when the message was sent. */
+  std::int64_t mAge = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mBackend, mRequests, mAge);
+  }
+};
+
 /** Requests per second that one entry VM may send to a cold backend server. */
 struct warmup_permit
 {
@@ -156,11 +171,21 @@
   std::uint64_t mListRevision = 0;
   std::vector<workspace_demand> mDemands;
   std::vector<crash_notice> mCrashes;
+  /** Loads that responses stated since the last report. */
+  std::vector<backend_load> mLoads;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mPlace, mIsAccepting, mNumber, mConfig, mListEpoch, mListRevision, mDemands, mCrashes);
+    aArchive(mPlace,
+             mIsAccepting,
+             mNumber,
+             mConfig,
+             mListEpoch,
+             mListRevision,
+             mDemands,
+             mCrashes,
+             mLoads);
   }
 };
 
@@ -188,6 +213,8 @@
   std::vector<note_departure> mDepartures;
   std::vector<workspace_grant> mGrants;
   std::vector<warmup_permit> mPermits;
+  /** Loads of busy backend servers that other entry VMs reported. */
+  std::vector<backend_load> mLoads;
   /** Fingerprints of requests that crash backend servers. */
   std::vector<digest> mQuarantined;
 
@@ -209,6 +236,7 @@
              mDepartures,
              mGrants,
              mPermits,
+             mLoads,
              mQuarantined);
   }
 };
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -335,6 +335,7 @@
     backend.mOwnAtReport = backend.mOwn;
     backend.mReportedAt = aNow;
     backend.mHasReport = true;
+    backend.mIsReportNew = true;
   }
   if (aOutcome == attempt_outcome::Abandoned) {
     return;
@@ -368,6 +369,31 @@
   }
 }
 
+void backend_pool::TakeLoad(const seen_load& aLoad)
+{
+  const auto found = mBackends.find(aLoad.mBackend);
+  if (found == mBackends.end() ||
+      (found->second.mHasReport && found->second.mReportedAt >= aLoad.mSeenAt)) {
+    return;
+  }
+  backend& backend = found->second;
+  backend.mLoad = { aLoad.mRequests, 0, static_cast<double>(backend.mRecord.mSlots) };
+  backend.mOwnAtReport = backend.mOwn;
+  backend.mReportedAt = aLoad.mSeenAt;
+  backend.mHasReport = true;
+}
+
+std::vector<backend_pool::seen_load> backend_pool::TakeSeenLoads()
+{
+  std::vector<seen_load> list;
+  for (auto& [id, backend] : mBackends) {
+    if (std::exchange(backend.mIsReportNew, false)) {
+      list.push_back({ id, backend.mLoad.mRunning + backend.mLoad.mWaiting, backend.mReportedAt });
+    }
+  }
+  return list;
+}
+
 double backend_pool::GetUtilisation(const service& aService, bool aIsHome, instant aNow) const
 {
   double load = 0;
--- a/src/citronpulley/steering/backend_pool.h
+++ b/src/citronpulley/steering/backend_pool.h
@@ -119,6 +119,20 @@
                microseconds aTook,
                instant aNow);
 
+  /** Load that a response to this VM stated, or another VM saw. */
+  struct seen_load
+  {
+    std::string mBackend;
+    double mRequests = 0;
+    instant mSeenAt;
+  };
+
+  /** Takes a load that another VM saw, if it is newer than what this VM knows. */
+  void TakeLoad(const seen_load& aLoad);
+
+  /** @return loads that responses stated since the last call */
+  std::vector<seen_load> TakeSeenLoads();
+
   /** Adapts the part of each service's requests that leaves the region; call it regularly. */
   void AdaptSpill(instant aNow);
 
@@ -139,6 +153,8 @@
     double mOwnAtReport = 0;
     instant mReportedAt;
     bool mHasReport = false;
+    /** The report was not told to the leader yet. */
+    bool mIsReportNew = false;
     instant mEjectedUntil;
     int mConsecutiveFailures = 0;
     bool mIsOnTrial = false;
--- a/tests/steering/backend_pool_test.cpp
+++ b/tests/steering/backend_pool_test.cpp
@@ -204,6 +204,21 @@
   CHECK(Choose(request) != first || Choose() != first);
 }
 
+/** Guards against a queue at a backend server that only the other VMs see. */
+TEST(backend_pool, a_load_that_another_vm_saw_counts_until_an_own_report_is_newer)
+{
+  Add("n", "north-a");
+  mPool.TakeLoad({ "n", 12, mNow });
+  CHECK(mPool.Choose(MakeRequest(), mNow)->mExpectedWait > microseconds(100'000));
+  mNow += microseconds(100'000);
+  mPool.NoteSent("n", mNow);
+  mPool.NoteEnd("n", attempt_outcome::Answered, load_report{ 1, 0, 4 }, microseconds(50'000), mNow);
+  mPool.TakeLoad({ "n", 12, mNow - microseconds(50'000) });
+  CHECK(mPool.Choose(MakeRequest(), mNow)->mExpectedWait == microseconds(0));
+  LONGS_EQUAL(1, mPool.TakeSeenLoads().size());
+  LONGS_EQUAL(0, mPool.TakeSeenLoads().size());
+}
+
 /** Guards against a shift of more than 15% of a region's requests between two windows of 2 s. */
 TEST(backend_pool, traffic_leaves_the_region_in_small_steps)
 {
