--- a/src/citronpulley/consensus/consensus_group.h
+++ b/src/citronpulley/consensus/consensus_group.h
@@ -137,7 +137,10 @@
   void Compact(std::string aState, group_actions& aActions);
 
   /** Replaces the VMs that are asked for admission. */
-  void SetControlVms(std::vector<vm_name> aControlVms) { mSettings.mControlVms = std::move(aControlVms); }
+  void SetControlVms(std::vector<vm_name> aControlVms)
+  {
+    mSettings.mControlVms = std::move(aControlVms);
+  }
 
   bool IsLeader() const noexcept { return mRole == role::Leader; }
 
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -34,15 +34,6 @@
   return microseconds(static_cast<microseconds::rep>(milliseconds * 1'000));
 }
 
-std::string_view GetHost(const http_query& aQuery)
-{
-  const std::string* host = FindField(aQuery.mFields, "Host");
-  if (host == nullptr) {
-    return {};
-  }
-  return std::string_view(*host).substr(0, host->find(':'));
-}
-
 unsigned StatusOf(refusal_reason aReason)
 {
   switch (aReason) {
@@ -63,16 +54,6 @@
 
 } // namespace
 
-struct entry_gateway::exchange
-{
-  std::shared_ptr<inbound_request> mRequest;
-  admission_ticket mTicket;
-  placement mPlacement;
-  std::function<void()> mCancel;
-  instant mAttemptAt;
-  bool mIsRunning = false;
-};
-
 entry_gateway::entry_gateway(entry_gateway_settings aSettings,
                              std::unique_ptr<wire_dialect> aDialect)
   : mSettings(std::move(aSettings))
@@ -204,26 +185,6 @@
   ScheduleTick();
 }
 
-void entry_gateway::TakeReadyCall(const std::shared_ptr<inbound_request>& aRequest)
-{
-  const control_call call = mDialect->ReadCall(aRequest->mQuery);
-  if (!std::holds_alternative<ready_call>(call)) {
-    aRequest->Respond(MakeAnswer(404));
-    return;
-  }
-  const bool isReady = !mIsStopping && mSteering.GetConfig() != nullptr;
-  aRequest->Respond(MakeAnswer(isReady ? 200 : 503));
-}
-
-digest entry_gateway::GetFingerprint(const http_query& aQuery,
-                                     const workspace_name& aWorkspace) const
-{
-  std::string text = aWorkspace.mValue;
-  text.append("\n").append(aQuery.mMethod).append("\n").append(GetHost(aQuery));
-  text.append("\n").append(aQuery.mTarget).append("\n").append(aQuery.mBody);
-  return ComputeDigest(text);
-}
-
 void entry_gateway::TakeRequest(const std::shared_ptr<inbound_request>& aRequest)
 {
   const instant now = GetBootTime();
@@ -234,7 +195,7 @@
   }
   const http_query& query = aRequest->mQuery;
   request_facts facts;
-  facts.mHost = GetHost(query);
+  facts.mHost = query.GetHost();
   facts.mPath = query.GetPath();
   facts.mKey = FindField(query.mFields, mNames.mKey);
   facts.mAffinityKey = FindField(query.mFields, mNames.mAffinityKey);
@@ -470,52 +431,6 @@
   LogFailedAttempt(aExchange, aOutcome, 0, ToString(next_step::Fail), aNow);
 }
 
-void entry_gateway::LogFailedAttempt(const exchange& aExchange,
-                                     attempt_outcome aOutcome,
-                                     unsigned aStatus,
-                                     std::string_view aNext,
-                                     instant aNow)
-{
-  if (!mLog.HasRoom(event_rank::Failure, aNow)) {
-    return;
-  }
-  mLog.Write(
-    "attempt_failed",
-    { { "request", GetId(aExchange.mRequest->mQuery) },
-      { "route", aExchange.mTicket.mRoute->mName },
-      { "backend", aExchange.mPlacement.mBackend },
-      { "address", aExchange.mPlacement.mAddress.mValue },
-      { "zone", aExchange.mPlacement.mZone.mValue },
-      { "outcome", ToString(aOutcome) },
-      { "status", static_cast<int>(aStatus) },
-      { "expected_wait_us", static_cast<std::int64_t>(aExchange.mPlacement.mExpectedWait.count()) },
-      { "took_us", static_cast<std::int64_t>((aNow - aExchange.mAttemptAt).count()) },
-      { "attempts", aExchange.mTicket.mAttempts },
-      { "next", aNext } },
-    aNow);
-}
-
-std::string entry_gateway::GetId(const http_query& aQuery) const
-{
-  const std::string* id = FindField(aQuery.mFields, mNames.mRequestId);
-  return id == nullptr ? std::string() : *id;
-}
-
-void entry_gateway::RefreshGauges()
-{
-  const instant now = GetBootTime();
-  const auto& config = mSteering.GetConfig();
-  mMetrics.SetGauge("open_requests", static_cast<double>(mExchanges.size()));
-  mMetrics.SetGauge("caller_connections", static_cast<double>(mFront.CountSessions()));
-  mMetrics.SetGauge("backend_connections_opened", static_cast<double>(mConnector.GetOpened()));
-  mMetrics.SetGauge("backend_servers", static_cast<double>(mSteering.GetPool().GetCount()));
-  mMetrics.SetGauge("config_version",
-                    config ? static_cast<double>(config->GetConfig().mVersion) : 0);
-  mMetrics.SetGauge("fresh_seconds",
-                    static_cast<double>((mSteering.GetFreshUntil() - now).count()) / 1e6);
-  mMetrics.SetGauge("log_lines_left_out", static_cast<double>(mLog.GetLeftOut()));
-}
-
 void entry_gateway::CheckDeadlines(instant aNow)
 {
   std::vector<exchange_ptr> late;
@@ -533,36 +448,4 @@
   }
 }
 
-void entry_gateway::SuspectCrash(const exchange& aExchange)
-{
-  const digest fingerprint =
-    GetFingerprint(aExchange.mRequest->mQuery, aExchange.mTicket.mWorkspace);
-  suspicion& suspicion = mSuspicions[aExchange.mPlacement.mAddress];
-  suspicion.mFingerprints.push_back(fingerprint);
-  if (suspicion.mFingerprints.size() > 1) {
-    return;
-  }
-  suspicion.mPlacement = aExchange.mPlacement;
-  // A lost connection alone is no crash: only a backend server that is gone has crashed.
-  mConnector.Probe(
-    suspicion.mPlacement.mAddress,
-    [this, address = suspicion.mPlacement.mAddress](bool aIsReachable) {
-      const auto found = mSuspicions.extract(address);
-      if (found.empty() || aIsReachable) {
-        return;
-      }
-      const placement& place = found.mapped().mPlacement;
-      const std::string start = place.mBackend + "/" + std::to_string(place.mStartedAtMs);
-      for (const digest& one : found.mapped().mFingerprints) {
-        mSteering.NoteCrash(one, start);
-      }
-      mLog.Write(
-        "backend_crashed",
-        { { "backend", start },
-          { "address", address.mValue },
-          { "requests", static_cast<std::uint64_t>(found.mapped().mFingerprints.size()) } },
-        GetBootTime());
-    });
-}
-
 } // namespace citronpulley
--- a/src/citronpulley/gateway/entry_gateway.h
+++ b/src/citronpulley/gateway/entry_gateway.h
@@ -59,7 +59,17 @@
   status Run();
 
 private:
-  struct exchange;
+  /** Request of a caller and its present attempt. */
+  struct exchange
+  {
+    std::shared_ptr<inbound_request> mRequest;
+    admission_ticket mTicket;
+    placement mPlacement;
+    std::function<void()> mCancel;
+    instant mAttemptAt;
+    bool mIsRunning = false;
+  };
+
   using exchange_ptr = std::shared_ptr<exchange>;
 
   struct suspicion
--- a/src/citronpulley/gateway/http_message.cpp
+++ b/src/citronpulley/gateway/http_message.cpp
@@ -102,6 +102,15 @@
   return std::string_view(mTarget).substr(0, mTarget.find('?'));
 }
 
+std::string_view http_query::GetHost() const noexcept
+{
+  const std::string* host = FindField(mFields, "Host");
+  if (host == nullptr) {
+    return {};
+  }
+  return std::string_view(*host).substr(0, host->find(':'));
+}
+
 http_reply MakeAnswer(unsigned aStatus, std::string aBody, http_fields aFields)
 {
   http_reply answer;
--- a/src/citronpulley/gateway/http_message.h
+++ b/src/citronpulley/gateway/http_message.h
@@ -43,6 +43,9 @@
 
   /** @return the path without the query */
   std::string_view GetPath() const noexcept;
+
+  /** @return the host without its port; empty without one */
+  std::string_view GetHost() const noexcept;
 };
 
 /** Response, whole. */
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -15,6 +15,11 @@
 constexpr double kOtherRegionUs = 45'000;
 /** Largest cost that is accepted to reach the backend server that knows a key best. */
 constexpr double kAffinityUs = 2'000'000;
+/**
+ * Backend servers of a region among which the requests of one key go. With more, an overload
+ * spreads every key over all of them, each run is cold, and the overload feeds itself.
+ */
+constexpr std::ptrdiff_t kKeyHomes = 2;
 /** Cost of a request that fails and is sent again or reported. */
 constexpr double kFailureUs = 400'000;
 /** A failure of a request that may not be repeated reaches its caller. */
@@ -243,16 +248,25 @@
                                                     bool aIsHome,
                                                     instant aNow) const
 {
-  const backend* best = nullptr;
-  double bestScore = 0;
+  std::vector<std::pair<double, const backend*>> candidates;
   for (const std::string& id : aService.mBackends) {
     const backend& candidate = mBackends.at(id);
-    if ((candidate.mRegion == mRegion) != aIsHome || !IsUsable(candidate, aRequest, aNow)) {
-      continue;
+    if ((candidate.mRegion == mRegion) == aIsHome && IsUsable(candidate, aRequest, aNow)) {
+      const double rank = aRequest.mAffinityKey ? HashUnit(*aRequest.mAffinityKey, id) : 0;
+      candidates.emplace_back(rank, &candidate);
     }
-    const double score = GetScore(candidate, aService, aRequest, aNow);
+  }
+  if (aRequest.mAffinityKey && std::ssize(candidates) > kKeyHomes) {
+    const auto end = candidates.begin() + kKeyHomes;
+    std::ranges::partial_sort(candidates, end);
+    candidates.erase(end, candidates.end());
+  }
+  const backend* best = nullptr;
+  double bestScore = 0;
+  for (const auto& [rank, candidate] : candidates) {
+    const double score = GetScore(*candidate, aService, aRequest, aNow);
     if (best == nullptr || score < bestScore) {
-      best = &candidate;
+      best = candidate;
       bestScore = score;
     }
   }
