Rename two fields after what they hold, and remove what the bus does not need

Cause: reading the change as a newcomer: two fields carried names of the platform, callbacks of links were never used, and the code that opens an acceptor stood twice. Ruled out: nothing; no behaviour changes. Change: mColdForMs, mPermittedRegions, OpenAcceptor; on_link removed.

--- a/src/citronpulley/fleet/backend_registry.cpp
+++ b/src/citronpulley/fleet/backend_registry.cpp
@@ -45,7 +45,7 @@
   if (IsReplacedAt(aRecord)) {
     return false;
   }
-  const instant coldUntil = aNow + microseconds(aRecord.mWarmupLeftMs * 1'000);
+  const instant coldUntil = aNow + microseconds(aRecord.mColdForMs * 1'000);
   const bool isNews = known == mEntries.end() || !IsSameButTime(known->second.mRecord, aRecord) ||
                       (coldUntil > aNow || known->second.mColdUntil > aNow
                          ? std::chrono::abs(coldUntil - known->second.mColdUntil) > kWarmupTolerance
@@ -141,7 +141,7 @@
 backend_record backend_registry::Present(const entry& aEntry, instant aNow)
 {
   backend_record record = aEntry.mRecord;
-  record.mWarmupLeftMs =
+  record.mColdForMs =
     std::max<std::int64_t>(0, (aEntry.mColdUntil - aNow + microseconds(999)).count() / 1'000);
   return record;
 }
--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -214,7 +214,7 @@
   if (workspace != nullptr && aNow < mFreshUntil) {
     ticket.mWorkspace = workspace->mName;
     ticket.mPriority = workspace->mPriority.value_or(route->mPriority);
-    ticket.mPlacement.mWorkspaceRegions = workspace->mAllowedRegions;
+    ticket.mPlacement.mWorkspaceRegions = workspace->mPermittedRegions;
   }
   if (!mQuarantined.empty() && mQuarantined.contains(aFacts.mFingerprint(ticket.mWorkspace))) {
     return refusal{ refusal_reason::Quarantined, ticket.mWorkspace };
@@ -226,7 +226,7 @@
     ticket.mIsMetered = true;
   }
   ticket.mPlacement.mService = PickService(*route);
-  ticket.mPlacement.mRouteRegions = route->mAllowedRegions;
+  ticket.mPlacement.mRouteRegions = route->mPermittedRegions;
   ticket.mPlacement.mIsIdempotent = route->mIsIdempotent;
   if (aFacts.mAffinityKey != nullptr) {
     ticket.mPlacement.mAffinityKey = *aFacts.mAffinityKey;
--- a/src/citronpulley/gateway/control_gateway.cpp
+++ b/src/citronpulley/gateway/control_gateway.cpp
@@ -80,14 +80,12 @@
   , mControlListener(mIo, mContext)
   , mDirectoryListener(mIo, mContext)
   , mMetricsListener(mIo, mMetrics.MakeContext([this] { RefreshGauges(); }))
-  , mBus(
-      mIo,
-      [this](const fleet_message& aMessage, const fleet_bus::reply& aReply) {
-        fleet_actions actions;
-        mControl->Receive(aMessage, GetBootTime(), aReply, actions);
-        Do(actions);
-      },
-      [](const vm_name&, bool) {})
+  , mBus(mIo,
+         [this](const fleet_message& aMessage, const fleet_bus::reply& aReply) {
+           fleet_actions actions;
+           mControl->Receive(aMessage, GetBootTime(), aReply, actions);
+           Do(actions);
+         })
   , mSignals(mIo, SIGTERM, SIGINT, SIGHUP)
   , mTimer(mIo)
 {
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -70,14 +70,12 @@
              http_session_context{ [] { return caller_limits{}; },
                                    [this](const auto& aRequest) { TakeReadyCall(aRequest); } }))
   , mMetricsListener(mIo, mMetrics.MakeContext([this] { RefreshGauges(); }))
-  , mBus(
-      mIo,
-      [this](const fleet_message& aMessage, const auto&) {
-        if (const auto* update = std::get_if<entry_update>(&aMessage)) {
-          mSubscription.Take(*update, GetBootTime());
-        }
-      },
-      [](const vm_name&, bool) {})
+  , mBus(mIo,
+         [this](const fleet_message& aMessage, const auto&) {
+           if (const auto* update = std::get_if<entry_update>(&aMessage)) {
+             mSubscription.Take(*update, GetBootTime());
+           }
+         })
   , mSubscription(mBus, mSteering, mLog, mSettings.mControlVms)
   , mSignals(mIo, SIGTERM, SIGINT, SIGHUP)
   , mTimer(mIo)
--- a/src/citronpulley/gateway/fleet_bus.cpp
+++ b/src/citronpulley/gateway/fleet_bus.cpp
@@ -16,33 +16,17 @@
 
 } // namespace
 
-fleet_bus::fleet_bus(asio::io_context& aIo, on_message aOnMessage, on_link aOnLink)
+fleet_bus::fleet_bus(asio::io_context& aIo, on_message aOnMessage)
   : mIo(aIo)
   , mOnMessage(std::move(aOnMessage))
-  , mOnLink(std::move(aOnLink))
   , mAcceptor(aIo)
 {
 }
 
 status fleet_bus::Open(const std::string& aAddress)
 {
-  const result<asio::ip::tcp::endpoint> endpoint = ParseEndpoint(aAddress);
-  if (!endpoint) {
-    return endpoint.GetError();
-  }
-  boost::system::error_code error;
-  mAcceptor.open(endpoint.Get().protocol(), error);
-  if (!error) {
-    mAcceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    mAcceptor.bind(endpoint.Get(), error);
-  }
-  if (!error) {
-    mAcceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return MakeError(error_code::Internal, step::Connect, aAddress, error.message());
+  if (status opened = OpenAcceptor(mAcceptor, aAddress); !opened) {
+    return opened;
   }
   Accept();
   return std::monostate{};
@@ -121,9 +105,8 @@
   link.mConnection = std::make_shared<frame_connection>(
     std::move(*aSocket),
     [this](const auto& aConnection, const std::string& aFrame) { TakeFrame(aConnection, aFrame); },
-    [this, aVm] { mOnLink(aVm, false); });
+    [] {});
   link.mConnection->Start();
-  mOnLink(aVm, true);
   for (const std::string& frame : frames) {
     link.mConnection->Send(frame);
   }
--- a/src/citronpulley/gateway/fleet_bus.h
+++ b/src/citronpulley/gateway/fleet_bus.h
@@ -29,10 +29,8 @@
 
   using reply = std::function<void(fleet_message)>;
   using on_message = std::function<void(const fleet_message&, const reply&)>;
-  /** Gets the VM, and true when it is connected or false when the connection was lost. */
-  using on_link = std::function<void(const vm_name&, bool)>;
 
-  fleet_bus(boost::asio::io_context& aIo, on_message aOnMessage, on_link aOnLink);
+  fleet_bus(boost::asio::io_context& aIo, on_message aOnMessage);
 
   /** Accepts connections at `IP:port`. */
   status Open(const std::string& aAddress);
@@ -64,7 +62,6 @@
 
   boost::asio::io_context& mIo;
   on_message mOnMessage;
-  on_link mOnLink;
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::map<vm_name, link> mLinks;
   std::list<std::shared_ptr<frame_connection>> mAccepted;
--- a/src/citronpulley/gateway/http_listener.cpp
+++ b/src/citronpulley/gateway/http_listener.cpp
@@ -25,32 +25,40 @@
   return MakeError(error_code::BadRequest, step::Connect, aAddress, "this is no address IP:port");
 }
 
-http_listener::http_listener(asio::io_context& aIo, std::shared_ptr<http_session_context> aContext)
-  : mAcceptor(aIo)
-  , mContext(std::move(aContext))
-{
-}
-
-status http_listener::Open(const std::string& aAddress)
+status OpenAcceptor(asio::ip::tcp::acceptor& aAcceptor, const std::string& aAddress)
 {
   const result<asio::ip::tcp::endpoint> endpoint = ParseEndpoint(aAddress);
   if (!endpoint) {
     return endpoint.GetError();
   }
   boost::system::error_code error;
-  mAcceptor.open(endpoint.Get().protocol(), error);
+  aAcceptor.open(endpoint.Get().protocol(), error);
   if (!error) {
-    mAcceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    aAcceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
   }
   if (!error) {
-    mAcceptor.bind(endpoint.Get(), error);
+    aAcceptor.bind(endpoint.Get(), error);
   }
   if (!error) {
-    mAcceptor.listen(asio::socket_base::max_listen_connections, error);
+    aAcceptor.listen(asio::socket_base::max_listen_connections, error);
   }
   if (error) {
     return MakeError(error_code::Internal, step::Connect, aAddress, error.message());
   }
+  return std::monostate{};
+}
+
+http_listener::http_listener(asio::io_context& aIo, std::shared_ptr<http_session_context> aContext)
+  : mAcceptor(aIo)
+  , mContext(std::move(aContext))
+{
+}
+
+status http_listener::Open(const std::string& aAddress)
+{
+  if (status opened = OpenAcceptor(mAcceptor, aAddress); !opened) {
+    return opened;
+  }
   Accept();
   return std::monostate{};
 }
--- a/src/citronpulley/gateway/http_listener.h
+++ b/src/citronpulley/gateway/http_listener.h
@@ -43,6 +43,9 @@
 /** @return the endpoint of an address `IP:port`, or an error */
 result<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& aAddress);
 
+/** Makes an acceptor listen at `IP:port`. */
+status OpenAcceptor(boost::asio::ip::tcp::acceptor& aAcceptor, const std::string& aAddress);
+
 } // namespace citronpulley
 
 #endif
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -124,7 +124,7 @@
   backend.mRecord = aRecord;
   const auto region = mRegions.find(aRecord.mZone);
   backend.mRegion = region == mRegions.end() ? region_name{} : region->second;
-  backend.mColdUntil = aNow + microseconds(aRecord.mWarmupLeftMs * 1'000);
+  backend.mColdUntil = aNow + microseconds(aRecord.mColdForMs * 1'000);
 }
 
 void backend_pool::Forget(const backend& aBackend)
--- a/src/citronpulley/steering/backend_record.h
+++ b/src/citronpulley/steering/backend_record.h
@@ -24,7 +24,7 @@
   /** Rises with each announcement of one start. */
   std::uint64_t mSequence = 0;
   /** Time for which it stays slow, counted from the announcement. */
-  std::int64_t mWarmupLeftMs = 0;
+  std::int64_t mColdForMs = 0;
 
   friend auto operator<=>(const backend_record&, const backend_record&) = default;
 
@@ -32,7 +32,7 @@
   void serialize(Archive& aArchive)
   {
     aArchive(
-      mId, mService, mAddress, mZone, mSlots, mIsLeaving, mStartedAtMs, mSequence, mWarmupLeftMs);
+      mId, mService, mAddress, mZone, mSlots, mIsLeaving, mStartedAtMs, mSequence, mColdForMs);
   }
 };
 
--- a/src/citronpulley/steering/traffic_config.h
+++ b/src/citronpulley/steering/traffic_config.h
@@ -52,7 +52,7 @@
   std::optional<microseconds> mObjective;
   std::vector<weighted_service> mServices;
   /** Empty when every region is allowed. */
-  std::vector<region_name> mAllowedRegions;
+  std::vector<region_name> mPermittedRegions;
 
   friend bool operator==(const route_rule&, const route_rule&) = default;
 };
@@ -67,7 +67,7 @@
   /** Requests per second; 0 without a limit. */
   double mRate = 0;
   double mBurst = 0;
-  std::vector<region_name> mAllowedRegions;
+  std::vector<region_name> mPermittedRegions;
 
   friend bool operator==(const workspace_rule&, const workspace_rule&) = default;
 };
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -84,7 +84,7 @@
   const result<backend_record> record = Announce(kBeat);
   CHECK(static_cast<bool>(record));
   STRCMP_EQUAL("i-1", record.Get().mId.c_str());
-  LONGS_EQUAL(1'500, record.Get().mWarmupLeftMs);
+  LONGS_EQUAL(1'500, record.Get().mColdForMs);
   CHECK(record.Get().mStartedAtMs == 1'700'000'000'000);
   CHECK_FALSE(record.Get().mIsLeaving);
 }
--- a/tests/steering/backend_pool_test.cpp
+++ b/tests/steering/backend_pool_test.cpp
@@ -140,7 +140,7 @@
 TEST(backend_pool, a_cold_backend_server_gets_only_what_its_permit_allows)
 {
   backend_record record = MakeRecord("n", "north-a");
-  record.mWarmupLeftMs = 3'000;
+  record.mColdForMs = 3'000;
   mPool.Update(record, mNow);
   STRCMP_EQUAL("", Choose().c_str());
   mPool.SetWarmupRates({ { "n", 4 } });
