Lend tokens and choose senders to cold servers without loops over all VMs

For each report the ledger walked all holders of all workspaces and looked up every VM by name, 0.72 ms a report with 133 entry VMs (fleet_bench LendTokens), at 443 reports a second; while servers are cold, choosing their senders cost 0.30 ms more. Updates came late, and with them departures, tokens and loads.

Ruled out: encoding and the list of changes (11 us a report).

Change: the ledger keeps sums of demand and of the rates that silent VMs use, and finds holders by a slot; senders to a cold server are looked for only among reports from its zone, without copies; changes of tokens under 2% of what a VM may hold are not sent.

--- /dev/null
+++ b/bench/fleet_bench.cpp
@@ -0,0 +1,128 @@
+/**
+ * @file
+ * Processor time and bytes that one report of an entry VM costs the leader in direct steering, at
+ * the size of the users' grown deployments.
+ */
+
+#include "citronpulley/fleet/backend_registry.h"
+#include "citronpulley/fleet/entry_registry.h"
+#include "citronpulley/fleet/fleet_message.h"
+#include "citronpulley/fleet/workspace_ledger.h"
+
+#include <benchmark/benchmark.h>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace citronpulley;
+
+namespace {
+
+constexpr int kZones = 9;
+constexpr int kBackends = 483;
+constexpr int kWorkspaces = 86;
+constexpr microseconds kInterval{ 300'000 };
+
+std::vector<entry_report> MakeReports(int aVms)
+{
+  std::mt19937_64 random(7);
+  std::vector<entry_report> reports(static_cast<std::size_t>(aVms));
+  for (std::size_t i = 0; i < reports.size(); ++i) {
+    entry_report& report = reports[i];
+    const std::string number = std::to_string(i);
+    report.mPlace = { vm_name("10.1.0." + number + ":7600"),
+                      "10.1.0." + number + ":8206",
+                      zone_name("zone-" + std::to_string(i % kZones)),
+                      region_name("region-" + std::to_string(i % 3)) };
+    report.mIsAccepting = true;
+    report.mConfig = 1;
+    for (int workspace = 0; workspace < kWorkspaces; ++workspace) {
+      report.mDemands.push_back({ workspace_name("workspace-" + std::to_string(workspace)),
+                                  static_cast<double>(random() % 100) / 50,
+                                  static_cast<double>(random() % 100) / 50 });
+    }
+  }
+  return reports;
+}
+
+std::vector<workspace_rule> MakeRules()
+{
+  std::vector<workspace_rule> rules;
+  for (int workspace = 0; workspace < kWorkspaces; ++workspace) {
+    workspace_rule rule;
+    rule.mName = workspace_name("workspace-" + std::to_string(workspace));
+    rule.mRate = 30;
+    rule.mBurst = 30;
+    rules.push_back(rule);
+  }
+  return rules;
+}
+
+/** Tokens for one report of `range(0)` entry VMs. */
+void LendTokens(benchmark::State& aState)
+{
+  std::vector<entry_report> reports = MakeReports(static_cast<int>(aState.range(0)));
+  workspace_ledger ledger({}, microseconds(4'800'000));
+  instant now{ microseconds(100'000'000) };
+  ledger.SetRules(MakeRules(), now);
+  std::size_t next = 0;
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(ledger.Take(reports[next], now));
+    next = (next + 1) % reports.size();
+    now += kInterval / static_cast<std::int64_t>(reports.size());
+  }
+}
+
+/** Permits for one report while `range(1)` backend servers are cold. */
+void ChooseSenders(benchmark::State& aState)
+{
+  const std::vector<entry_report> reports = MakeReports(static_cast<int>(aState.range(0)));
+  entry_registry entries;
+  const instant now{ microseconds(100'000'000) };
+  for (const entry_report& report : reports) {
+    entries.Take(report, now);
+  }
+  std::vector<backend_record> cold(static_cast<std::size_t>(aState.range(1)));
+  for (std::size_t i = 0; i < cold.size(); ++i) {
+    cold[i].mId = "i-" + std::to_string(i * 7'919);
+    cold[i].mZone = zone_name("zone-" + std::to_string(i % kZones));
+  }
+  std::size_t next = 0;
+  for (auto _ : aState) {
+    for (const backend_record& backend : cold) {
+      benchmark::DoNotOptimize(entries.FindWarmupRate(reports[next].mPlace.mVm, backend, 3.8, now));
+    }
+    next = (next + 1) % reports.size();
+  }
+}
+
+/** Changes since a report that misses nothing, and the busy ones among all backend servers. */
+void ListChanges(benchmark::State& aState)
+{
+  backend_registry registry(1);
+  const instant now{ microseconds(100'000'000) };
+  for (int i = 0; i < kBackends; ++i) {
+    backend_record record;
+    record.mId = "i-" + std::to_string(i * 7'919);
+    record.mAddress = server_name("10.1.64." + std::to_string(i) + ":8000");
+    record.mSlots = 9;
+    record.mStartedAtMs = 1;
+    record.mSequence = 1;
+    registry.Take(record, now);
+    registry.TakeLoad({ record.mId, static_cast<double>(i % 10), 0 }, now);
+  }
+  for (auto _ : aState) {
+    entry_update update;
+    update.mLoads = registry.ListBusy(now);
+    registry.WriteNews(1, kBackends, now, update);
+    benchmark::DoNotOptimize(update);
+  }
+}
+
+BENCHMARK(LendTokens)->Arg(30)->Arg(133)->Arg(300);
+BENCHMARK(ChooseSenders)->Args({ 133, 86 })->Args({ 300, 86 });
+BENCHMARK(ListChanges);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/src/citronpulley/fleet/entry_registry.cpp
+++ b/src/citronpulley/fleet/entry_registry.cpp
@@ -1,8 +1,9 @@
 #include "citronpulley/fleet/entry_registry.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
-#include <utility>
+#include <string>
 
 namespace citronpulley {
 
@@ -12,16 +13,25 @@
 constexpr std::size_t kWarmupSenders = 4;
 /** Part of the tolerated rate that is used, since permits of two leaders can overlap. */
 constexpr double kWarmupUse = 0.9;
-std::size_t HashPair(const std::string& aOne, const std::string& aOther)
+
+std::uint64_t MixHashes(std::uint64_t aOne, std::uint64_t aOther) noexcept
 {
-  return std::hash<std::string>{}(aOne + "|" + aOther);
+  std::uint64_t hash = aOne ^ (aOther * 0x9e3779b97f4a7c15ULL);
+  hash = (hash ^ (hash >> 33U)) * 0xff51afd7ed558ccdULL;
+  return hash ^ (hash >> 33U);
 }
 
 } // namespace
 
 void entry_registry::Take(const entry_report& aReport, instant aNow)
 {
-  mEntries[aReport.mPlace.mVm] = { aReport.mPlace, aReport.mIsAccepting, aNow };
+  entry& entry = mEntries[aReport.mPlace.mVm];
+  if (entry.mPlace.mVm.IsEmpty()) {
+    entry.mHash = std::hash<std::string>{}(aReport.mPlace.mVm.mValue);
+  }
+  entry.mPlace = aReport.mPlace;
+  entry.mIsAccepting = aReport.mIsAccepting;
+  entry.mHeardAt = aNow;
   std::erase_if(mEntries,
                 [&](const auto& aEntry) { return aEntry.second.mHeardAt + kListedFor <= aNow; });
 }
@@ -42,20 +52,24 @@
                                                      double aRate,
                                                      instant aNow) const
 {
-  std::vector<std::pair<std::size_t, vm_name>> senders;
+  const auto own = mEntries.find(aVm);
+  if (own == mEntries.end() || own->second.mPlace.mZone != aBackend.mZone) {
+    return std::nullopt;
+  }
+  const std::uint64_t backend = std::hash<std::string>{}(aBackend.mId);
+  const std::uint64_t rank = MixHashes(own->second.mHash, backend);
+  std::size_t live = 0;
+  std::size_t ahead = 0;
   for (const auto& [vm, entry] : mEntries) {
     if (entry.mPlace.mZone == aBackend.mZone && entry.mHeardAt + kListedFor > aNow) {
-      senders.emplace_back(HashPair(vm.mValue, aBackend.mId), vm);
+      ++live;
+      ahead += MixHashes(entry.mHash, backend) < rank ? 1 : 0;
     }
   }
-  std::ranges::sort(senders);
-  const std::size_t count = std::min(kWarmupSenders, senders.size());
-  for (std::size_t i = 0; i < count; ++i) {
-    if (senders[i].second == aVm) {
-      return kWarmupUse * aRate / static_cast<double>(count);
-    }
+  if (live == 0 || ahead >= kWarmupSenders) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return kWarmupUse * aRate / static_cast<double>(std::min(kWarmupSenders, live));
 }
 
 } // namespace citronpulley
--- a/src/citronpulley/fleet/entry_registry.h
+++ b/src/citronpulley/fleet/entry_registry.h
@@ -4,6 +4,7 @@
 #include "citronpulley/base/instant.h"
 #include "citronpulley/fleet/fleet_message.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -42,6 +43,8 @@
     entry_place mPlace;
     bool mIsAccepting = false;
     instant mHeardAt;
+    /** Hash of the VM's name. */
+    std::uint64_t mHash = 0;
   };
 
   std::map<vm_name, entry> mEntries;
--- a/src/citronpulley/fleet/workspace_ledger.cpp
+++ b/src/citronpulley/fleet/workspace_ledger.cpp
@@ -1,7 +1,8 @@
 #include "citronpulley/fleet/workspace_ledger.h"
 
 #include <algorithm>
-#include <set>
+#include <cmath>
+#include <utility>
 
 namespace citronpulley {
 
@@ -15,35 +16,55 @@
 constexpr double kLedgerSeconds = 0.4;
 /** Part of the allowance that stays unused, for reports and grants that cross. */
 constexpr double kMargin = 0.1;
+/** Change of the tokens, as a part of what an entry VM may hold, below which no grant is sent. */
+constexpr double kLeastChange = 0.02;
+/** Sum of demands that is taken as none, in requests per second. */
+constexpr double kNoDemand = 1e-6;
+
+double ToSeconds(microseconds aSpan)
+{
+  return static_cast<double>(aSpan.count()) / 1e6;
+}
 
 } // namespace
 
 void workspace_ledger::SetRules(const std::vector<workspace_rule>& aRules, instant aNow)
 {
-  std::set<workspace_name> limited;
+  std::vector<account> accounts;
   for (const workspace_rule& rule : aRules) {
     if (rule.mRate <= 0) {
       continue;
     }
-    limited.insert(rule.mName);
-    const auto [place, isNew] = mAccounts.try_emplace(rule.mName);
-    if (isNew) {
-      place->second.mFilledAt = aNow;
+    account* known = FindAccount(rule.mName);
+    if (known != nullptr) {
+      Fill(*known, aNow);
+      accounts.push_back(std::move(*known));
+    } else {
+      accounts.emplace_back();
+      accounts.back().mFilledAt = aNow;
+      accounts.back().mHolders.resize(mSlotCount);
     }
-    Fill(place->second, aNow);
-    place->second.mRate = rule.mRate;
-    place->second.mBurst = rule.mBurst;
+    accounts.back().mName = rule.mName;
+    accounts.back().mRate = rule.mRate;
+    accounts.back().mBurst = rule.mBurst;
   }
-  std::erase_if(mAccounts, [&](const auto& aAccount) { return !limited.contains(aAccount.first); });
+  mAccounts = std::move(accounts);
+  std::ranges::sort(mAccounts, {}, &account::mName);
+}
+
+workspace_ledger::account* workspace_ledger::FindAccount(const workspace_name& aName)
+{
+  const auto found = std::ranges::lower_bound(mAccounts, aName, {}, &account::mName);
+  return found == mAccounts.end() || found->mName != aName ? nullptr : &*found;
 }
 
 double workspace_ledger::GetAllowance(const account& aAccount) const
 {
-  const double window = static_cast<double>(mBounds.mWindow.count()) / 1e6;
+  const double window = ToSeconds(mBounds.mWindow);
   const double excess = mBounds.mOverage * (aAccount.mRate * window + aAccount.mBurst) +
                         aAccount.mBurst + mBounds.mSlack;
   // Each entry VM may spend a fraction of a token in advance.
-  const double advance = static_cast<double>(mHeardAt.size()) * 0.5;
+  const double advance = static_cast<double>(mVms.size()) * 0.5;
   return std::max(excess * (1 - kMargin) - advance, excess / 4);
 }
 
@@ -54,83 +75,125 @@
 
 void workspace_ledger::Fill(account& aAccount, instant aNow) const
 {
-  const double elapsed = static_cast<double>((aNow - aAccount.mFilledAt).count()) / 1e6;
+  const double elapsed = std::max(0.0, ToSeconds(aNow - aAccount.mFilledAt));
   aAccount.mFilledAt = aNow;
-  double rate = aAccount.mRate;
-  for (const auto& [vm, holder] : aAccount.mHolders) {
-    const auto heard = mHeardAt.find(vm);
-    if (heard != mHeardAt.end() && heard->second + kSilence <= aNow) {
-      rate -= holder.mSilentRate;
-    }
-  }
-  aAccount.mTokens = std::min(GetLedgerPart(aAccount),
-                              aAccount.mTokens + std::max(0.0, rate) * std::max(0.0, elapsed));
+  const double rate = std::max(0.0, aAccount.mRate - aAccount.mSilentRate);
+  aAccount.mTokens = std::min(GetLedgerPart(aAccount), aAccount.mTokens + rate * elapsed);
 }
 
 std::vector<workspace_grant> workspace_ledger::Take(const entry_report& aReport, instant aNow)
 {
-  const vm_name& vm = aReport.mPlace.mVm;
-  mHeardAt[vm] = aNow;
-  Expire(aNow);
-  for (auto& [name, account] : mAccounts) {
-    holder& holder = account.mHolders[vm];
+  CheckSilence(aNow);
+  const std::size_t slot = Hear(aReport.mPlace.mVm, aNow);
+  for (account& account : mAccounts) {
+    holder& holder = account.mHolders[slot];
+    account.mDemand = std::max(0.0, account.mDemand - holder.mDemand);
     holder.mDemand = 0;
     holder.mTokens = 0;
   }
   for (const workspace_demand& demand : aReport.mDemands) {
-    const auto account = mAccounts.find(demand.mWorkspace);
-    if (account != mAccounts.end()) {
-      holder& holder = account->second.mHolders[vm];
+    if (account* account = FindAccount(demand.mWorkspace)) {
+      holder& holder = account->mHolders[slot];
+      account->mDemand += demand.mRate - holder.mDemand;
       holder.mDemand = demand.mRate;
       holder.mTokens = demand.mTokens;
     }
   }
   std::vector<workspace_grant> grants;
-  for (auto& [name, account] : mAccounts) {
-    workspace_grant grant = Lend(account, vm, aNow);
+  for (account& account : mAccounts) {
+    workspace_grant grant = Lend(account, slot, aNow);
     if (grant.mTokens != 0) {
-      grant.mWorkspace = name;
+      grant.mWorkspace = account.mName;
       grants.push_back(std::move(grant));
     }
   }
   return grants;
 }
 
-workspace_grant workspace_ledger::Lend(account& aAccount, const vm_name& aVm, instant aNow)
+workspace_grant workspace_ledger::Lend(account& aAccount, std::size_t aSlot, instant aNow)
 {
   Fill(aAccount, aNow);
-  double demand = 0;
-  for (const auto& [vm, holder] : aAccount.mHolders) {
-    demand += holder.mDemand;
-  }
-  holder& holder = aAccount.mHolders[aVm];
-  const double even = 1 / static_cast<double>(aAccount.mHolders.size());
+  holder& holder = aAccount.mHolders[aSlot];
+  const double even = 1 / static_cast<double>(mVms.size());
   const double lent = GetAllowance(aAccount) - GetLedgerPart(aAccount);
   const double evenPart = std::clamp(kEvenTokens / (even * lent), kMinEvenPart, 1.0);
-  const double part =
-    demand > 0 ? evenPart * even + (1 - evenPart) * holder.mDemand / demand : even;
+  const double part = aAccount.mDemand > kNoDemand
+                        ? evenPart * even + (1 - evenPart) * holder.mDemand / aAccount.mDemand
+                        : even;
   workspace_grant grant;
   grant.mMost = lent * part;
   grant.mSilentRate = aAccount.mRate * part;
   // Tokens that became too many go back to the ledger.
-  grant.mTokens = std::min(grant.mMost - holder.mTokens, std::max(0.0, aAccount.mTokens));
-  aAccount.mTokens -= grant.mTokens;
-  holder.mTokens += grant.mTokens;
+  const double tokens = std::min(grant.mMost - holder.mTokens, std::max(0.0, aAccount.mTokens));
+  if (std::abs(tokens) < kLeastChange * grant.mMost) {
+    return grant;
+  }
+  grant.mTokens = tokens;
+  aAccount.mTokens -= tokens;
+  holder.mTokens += tokens;
   holder.mSilentRate = grant.mSilentRate;
   return grant;
 }
 
-void workspace_ledger::Expire(instant aNow)
+std::size_t workspace_ledger::Hear(const vm_name& aVm, instant aNow)
+{
+  const auto [place, isNew] = mVms.try_emplace(aVm);
+  entry_vm& vm = place->second;
+  vm.mHeardAt = aNow;
+  if (!isNew) {
+    SetSilent(vm, false, aNow);
+    return vm.mSlot;
+  }
+  if (!mFreeSlots.empty()) {
+    vm.mSlot = mFreeSlots.back();
+    mFreeSlots.pop_back();
+    return vm.mSlot;
+  }
+  vm.mSlot = mSlotCount++;
+  for (account& account : mAccounts) {
+    account.mHolders.resize(mSlotCount);
+  }
+  return vm.mSlot;
+}
+
+void workspace_ledger::SetSilent(entry_vm& aVm, bool aIsSilent, instant aNow)
+{
+  if (aVm.mIsSilent == aIsSilent) {
+    return;
+  }
+  aVm.mIsSilent = aIsSilent;
+  for (account& account : mAccounts) {
+    Fill(account, aNow);
+    const double rate = account.mHolders[aVm.mSlot].mSilentRate;
+    if (!aIsSilent) {
+      account.mSilentRate = std::max(0.0, account.mSilentRate - rate);
+      continue;
+    }
+    // The silence began before it was noticed.
+    account.mTokens -= rate * ToSeconds(aNow - (aVm.mHeardAt + kSilence));
+    account.mSilentRate += rate;
+  }
+}
+
+void workspace_ledger::CheckSilence(instant aNow)
 {
-  for (auto place = mHeardAt.begin(); place != mHeardAt.end();) {
-    if (place->second + mLease > aNow) {
+  for (auto place = mVms.begin(); place != mVms.end();) {
+    entry_vm& vm = place->second;
+    if (vm.mHeardAt + kSilence <= aNow) {
+      SetSilent(vm, true, aNow);
+    }
+    if (vm.mHeardAt + mLease > aNow) {
       ++place;
       continue;
     }
-    for (auto& [name, account] : mAccounts) {
-      account.mHolders.erase(place->first);
+    SetSilent(vm, false, aNow);
+    for (account& account : mAccounts) {
+      holder& holder = account.mHolders[vm.mSlot];
+      account.mDemand = std::max(0.0, account.mDemand - holder.mDemand);
+      holder = {};
     }
-    place = mHeardAt.erase(place);
+    mFreeSlots.push_back(vm.mSlot);
+    place = mVms.erase(place);
   }
 }
 
--- a/src/citronpulley/fleet/workspace_ledger.h
+++ b/src/citronpulley/fleet/workspace_ledger.h
@@ -48,6 +48,7 @@
   std::vector<workspace_grant> Take(const entry_report& aReport, instant aNow);
 
 private:
+  /** What one entry VM holds of one workspace. */
   struct holder
   {
     double mDemand = 0;
@@ -57,11 +58,24 @@
 
   struct account
   {
+    workspace_name mName;
     double mRate = 0;
     double mBurst = 0;
     double mTokens = 0;
     instant mFilledAt;
-    std::map<vm_name, holder> mHolders;
+    /** Sum over all holders. */
+    double mDemand = 0;
+    /** Sum over the holders on silent entry VMs. */
+    double mSilentRate = 0;
+    /** By the slot of the entry VM. */
+    std::vector<holder> mHolders;
+  };
+
+  struct entry_vm
+  {
+    std::size_t mSlot = 0;
+    instant mHeardAt;
+    bool mIsSilent = false;
   };
 
   /** @return tokens that the ledger and all entry VMs may hold together */
@@ -69,13 +83,21 @@
   /** @return tokens of these that the ledger holds at most */
   double GetLedgerPart(const account& aAccount) const;
   void Fill(account& aAccount, instant aNow) const;
-  workspace_grant Lend(account& aAccount, const vm_name& aVm, instant aNow);
-  void Expire(instant aNow);
+  workspace_grant Lend(account& aAccount, std::size_t aSlot, instant aNow);
+  account* FindAccount(const workspace_name& aName);
+  /** Notes that an entry VM is there. @return its slot */
+  std::size_t Hear(const vm_name& aVm, instant aNow);
+  /** Finds the entry VMs that became silent, or whose lease ran out. */
+  void CheckSilence(instant aNow);
+  void SetSilent(entry_vm& aVm, bool aIsSilent, instant aNow);
 
   quota_bounds mBounds;
   microseconds mLease;
-  std::map<workspace_name, account> mAccounts;
-  std::map<vm_name, instant> mHeardAt;
+  /** Ordered by name. */
+  std::vector<account> mAccounts;
+  std::map<vm_name, entry_vm> mVms;
+  std::vector<std::size_t> mFreeSlots;
+  std::size_t mSlotCount = 0;
 };
 
 } // namespace citronpulley
