Keep a key at its first home until the queue costs more than a cold run

A cold run is late whatever happens (920 ms of work, 600 ms aimed at). The homes of a key were weighed by the difference of their hashes, some milliseconds in a large region, so any difference in load moved a key to and fro; known at two servers, the keys also took twice the room of the caches (25 keys a server, 12 keys a server by number).

Ruled out: affinity by zone (each key is asked for in both zones of its region).

Change: the second home costs three mean service times more than the first; the failure rate counts in service times as well, so that a failing home is still left.

--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -13,17 +13,21 @@
 constexpr double kOtherZoneUs = 15'000;
 /** Cost of the way to another region and back. */
 constexpr double kOtherRegionUs = 45'000;
-/** Largest cost that is accepted to reach the backend server that knows a key best. */
-constexpr double kAffinityUs = 2'000'000;
+/**
+ * Cost of a run at a backend server that does not know the key, in mean service times: the run
+ * takes about three times as long, is late then, and pushes another key out of the backend server's
+ * cache.
+ */
+constexpr double kColdRunServiceTimes = 3;
 /**
  * Backend servers of a region among which the requests of one key go. With more, an overload
  * spreads every key over all of them, each run is cold, and the overload feeds itself.
  */
 constexpr std::ptrdiff_t kKeyHomes = 2;
-/** Cost of a request that fails and is sent again or reported. */
-constexpr double kFailureUs = 400'000;
+/** Cost of a request that fails and is sent again, in mean service times. */
+constexpr double kFailureServiceTimes = 6;
 /** A failure of a request that may not be repeated reaches its caller. */
-constexpr double kFinalFailureUs = 1'000'000;
+constexpr double kFinalFailureServiceTimes = 12;
 /** Service time of a service without any response yet. */
 constexpr double kDefaultServiceTimeUs = 150'000;
 /** Weight of one response in the means. */
@@ -220,27 +224,28 @@
 double backend_pool::GetScore(const backend& aBackend,
                               const service& aService,
                               const placement_request& aRequest,
+                              double aHome,
                               instant aNow) const
 {
   const double mean = aService.mServiceTimeUs > 0 ? aService.mServiceTimeUs : kDefaultServiceTimeUs;
   const double slots = std::max(1.0, static_cast<double>(aBackend.mRecord.mSlots));
   const double load = EstimateLoad(aBackend, aNow);
   double score = std::max(0.0, load + 1 - slots) / slots * mean;
-  // Below saturation, a fuller backend server is a little worse: its queue forms sooner.
-  score += load / slots * mean * 0.2;
+  if (!aRequest.mAffinityKey) {
+    // Below saturation, a fuller backend server is a little worse: its queue forms sooner.
+    score += load / slots * mean * 0.2;
+  }
   if (aBackend.mRegion != mRegion) {
     score += kOtherRegionUs;
   } else if (aBackend.mRecord.mZone != mZone && !aRequest.mAffinityKey) {
     // With a key, all VMs of the region must come to the same choice.
     score += kOtherZoneUs;
   }
-  score += GetFailureRate(aBackend, aNow) * (aRequest.mIsIdempotent ? kFailureUs : kFinalFailureUs);
+  score += GetFailureRate(aBackend, aNow) * mean *
+           (aRequest.mIsIdempotent ? kFailureServiceTimes : kFinalFailureServiceTimes);
   // A single backend server far slower than its peers is slow itself; less is noise.
   score += std::max(0.0, aBackend.mServiceTimeUs - 2 * mean);
-  if (aRequest.mAffinityKey) {
-    score += HashUnit(*aRequest.mAffinityKey, aBackend.mRecord.mId) * kAffinityUs;
-  }
-  return score;
+  return score + aHome * kColdRunServiceTimes * mean;
 }
 
 const backend_pool::backend* backend_pool::FindBest(const service& aService,
@@ -256,15 +261,17 @@
       candidates.emplace_back(rank, &candidate);
     }
   }
-  if (aRequest.mAffinityKey && std::ssize(candidates) > kKeyHomes) {
-    const auto end = candidates.begin() + kKeyHomes;
+  if (aRequest.mAffinityKey) {
+    const auto end = candidates.begin() + std::min(kKeyHomes, std::ssize(candidates));
     std::ranges::partial_sort(candidates, end);
     candidates.erase(end, candidates.end());
   }
   const backend* best = nullptr;
   double bestScore = 0;
+  double home = 0;
   for (const auto& [rank, candidate] : candidates) {
-    const double score = GetScore(*candidate, aService, aRequest, aNow);
+    const double score = GetScore(*candidate, aService, aRequest, home, aNow);
+    home += aRequest.mAffinityKey ? 1 : 0;
     if (best == nullptr || score < bestScore) {
       best = candidate;
       bestScore = score;
--- a/src/citronpulley/steering/backend_pool.h
+++ b/src/citronpulley/steering/backend_pool.h
@@ -177,9 +177,11 @@
   static double EstimateLoad(const backend& aBackend, instant aNow);
   static double GetFailureRate(const backend& aBackend, instant aNow);
   bool IsUsable(const backend& aBackend, const placement_request& aRequest, instant aNow) const;
+  /** @return cost in microseconds of a request at the home of its key with this number */
   double GetScore(const backend& aBackend,
                   const service& aService,
                   const placement_request& aRequest,
+                  double aHome,
                   instant aNow) const;
   const backend* FindBest(const service& aService,
                           const placement_request& aRequest,
--- a/tests/steering/backend_pool_test.cpp
+++ b/tests/steering/backend_pool_test.cpp
@@ -204,6 +204,28 @@
   CHECK(Choose(request) != first || Choose() != first);
 }
 
+/**
+ * Guards against keys that move between two backend servers at small differences of their load:
+ * each move costs a cold run, and a key known at both takes twice the room in their caches.
+ */
+TEST(backend_pool, a_key_stays_at_its_first_home_until_the_queue_costs_more_than_a_cold_run)
+{
+  for (const char* id : { "a", "b", "c", "d", "e", "f", "g", "h" }) {
+    Add(id, "north-a");
+  }
+  for (int key = 0; key < 20; ++key) {
+    const placement_request request = MakeRequest(std::to_string(key));
+    const std::string first = Choose(request);
+    mPool.TakeLoad({ first, 6, mNow });
+    STRCMP_EQUAL(first.c_str(), Choose(request).c_str());
+    mNow += microseconds(1);
+    mPool.TakeLoad({ first, 40, mNow });
+    CHECK(Choose(request) != first);
+    mNow += microseconds(1);
+    mPool.TakeLoad({ first, 0, mNow });
+  }
+}
+
 /** Guards against a queue at a backend server that only the other VMs see. */
 TEST(backend_pool, a_load_that_another_vm_saw_counts_until_an_own_report_is_newer)
 {
