Take the queue out of service times and limit waits by the fast runs

Cause: the limit of the wait, aim less mean service time, used a mean that held cold runs and the time in queues.

Change: a response's own statement of the queue takes the queue out of its time; the limit uses a low quantile of a route's run times, the time of runs whose key is known.

--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -259,13 +259,17 @@
 
 microseconds entry_steering::GetWaitLimit(const admission_ticket& aTicket,
                                           const placement& aPlacement,
-                                          instant aNow)
+                                          instant aNow) const
 {
+  const auto known = mRunTimes.find(aTicket.mRoute->mName);
+  const microseconds runTime = known == mRunTimes.end()
+                                 ? aPlacement.mServiceTime
+                                 : known->second.Get().value_or(aPlacement.mServiceTime);
   const microseconds objective = aTicket.mRoute->mObjective.value_or(kDefaultObjective);
   const auto least = microseconds(
     static_cast<microseconds::rep>(kMinWaitPart * static_cast<double>(objective.count())));
   // A queue that makes responses late serves nobody: they take the slots of those in time.
-  const microseconds inTime = std::max(least, objective - aPlacement.mServiceTime);
+  const microseconds inTime = std::max(least, objective - runTime);
   return std::min(aTicket.mPriority == 0 ? 2 * inTime : inTime, aTicket.mDeadline - aNow);
 }
 
@@ -283,6 +287,7 @@
 {
   mPool.NoteEnd(aPlacement.mBackend, aOutcome, aLoad, aTook, aNow);
   if (aOutcome == attempt_outcome::Answered) {
+    mRunTimes[aTicket.mRoute->mName].Note(aTook, aLoad);
     return next_step::PassOn;
   }
   if (aOutcome == attempt_outcome::Abandoned || aOutcome == attempt_outcome::TimedOut) {
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -6,6 +6,7 @@
 #include "citronpulley/limits/retry_budget.h"
 #include "citronpulley/steering/backend_pool.h"
 #include "citronpulley/steering/route_index.h"
+#include "citronpulley/steering/run_time_estimate.h"
 #include "citronpulley/steering/workspace_meter.h"
 
 #include <cstdint>
@@ -165,9 +166,9 @@
 
 private:
   /** @return expected wait for a slot with which a request is refused rather than sent */
-  static microseconds GetWaitLimit(const admission_ticket& aTicket,
-                                   const placement& aPlacement,
-                                   instant aNow);
+  microseconds GetWaitLimit(const admission_ticket& aTicket,
+                            const placement& aPlacement,
+                            instant aNow) const;
   const service_name& PickService(const route_rule& aRoute);
   void TakeBackends(const entry_update& aUpdate, instant aNow);
 
@@ -183,6 +184,8 @@
   std::uint64_t mListRevision = 0;
   std::vector<crash_notice> mCrashes;
   std::set<digest> mQuarantined;
+  /** By the name of the route. */
+  std::map<std::string, run_time_estimate> mRunTimes;
   /** Credit of each part of a weighted route: the part with the most goes next. */
   std::map<std::string, std::map<service_name, double>> mWeightCredits;
 };
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -1,5 +1,7 @@
 #include "citronpulley/steering/backend_pool.h"
 
+#include "citronpulley/steering/run_time_estimate.h"
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
@@ -381,7 +383,7 @@
   backend.mJudgedAt = aNow;
   if (aOutcome == attempt_outcome::Answered || aOutcome == attempt_outcome::TimedOut) {
     service& service = mServices[backend.mRecord.mService];
-    const auto took = static_cast<double>(aTook.count());
+    const double took = GetRunTimeUs(aTook, aLoad);
     const auto fold = [took](double& aMean) {
       aMean = aMean == 0 ? took : aMean * (1 - kMeanWeight) + took * kMeanWeight;
     };
--- a/src/citronpulley/steering/backend_pool.h
+++ b/src/citronpulley/steering/backend_pool.h
@@ -3,6 +3,7 @@
 
 #include "citronpulley/base/instant.h"
 #include "citronpulley/steering/backend_record.h"
+#include "citronpulley/steering/load_report.h"
 
 #include <cstdint>
 #include <map>
@@ -14,16 +15,6 @@
 
 namespace citronpulley {
 
-/** Load that a backend server states in a response. */
-struct load_report
-{
-  double mRunning = 0;
-  double mWaiting = 0;
-  double mSlots = 0;
-
-  friend bool operator==(const load_report&, const load_report&) = default;
-};
-
 /** How a request to a backend server ended. */
 enum class attempt_outcome : std::uint8_t
 {
--- /dev/null
+++ b/src/citronpulley/steering/run_time_estimate.cpp
@@ -0,0 +1,41 @@
+#include "citronpulley/steering/run_time_estimate.h"
+
+#include <algorithm>
+
+namespace citronpulley {
+
+namespace {
+
+/** Part of the runs that are faster than the estimate. */
+constexpr double kQuantile = 0.3;
+/** Relative change by one response: ten responses follow a change by a factor of three. */
+constexpr double kStep = 0.15;
+
+} // namespace
+
+double GetRunTimeUs(microseconds aTook, const std::optional<load_report>& aLoad) noexcept
+{
+  // The queue at the end of a run is about as long as the one that the request met.
+  const double queue = aLoad ? aLoad->mWaiting / std::max(1.0, aLoad->mSlots) : 0;
+  return static_cast<double>(aTook.count()) / (1 + queue);
+}
+
+void run_time_estimate::Note(microseconds aTook, const std::optional<load_report>& aLoad) noexcept
+{
+  const double time = GetRunTimeUs(aTook, aLoad);
+  if (mMicroseconds == 0) {
+    mMicroseconds = time;
+    return;
+  }
+  mMicroseconds *= time > mMicroseconds ? 1 + kStep * kQuantile : 1 - kStep * (1 - kQuantile);
+}
+
+std::optional<microseconds> run_time_estimate::Get() const noexcept
+{
+  if (mMicroseconds == 0) {
+    return std::nullopt;
+  }
+  return microseconds(static_cast<microseconds::rep>(mMicroseconds));
+}
+
+} // namespace citronpulley
--- a/src/citronpulley/steering/steering.h
+++ b/src/citronpulley/steering/steering.h
@@ -11,6 +11,7 @@
 #include "citronpulley/steering/backend_pool.h"
 #include "citronpulley/steering/backend_record.h"
 #include "citronpulley/steering/route_index.h"
+#include "citronpulley/steering/run_time_estimate.h"
 #include "citronpulley/steering/traffic_config.h"
 #include "citronpulley/steering/workspace_meter.h"
 
