Ask callers to come back after an election when no control VM is found

Cause: refusals for want of a configuration or of a fresh proof said 0.2 s, an election and a report take about 1 s.

Change: 1 s for these two reasons; the refusal carries its time, and the log line states it.

--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -17,6 +17,13 @@
 constexpr microseconds kDefaultObjective{ 1'000'000 };
 /** Largest text of a configuration. */
 constexpr std::size_t kMaxConfigBytes = 32UL * 1024 * 1024;
+/**
+ * Time after which a control VM is likely to be found again: an election and a report. Callers come
+ * back only a few times, so an earlier time wastes their attempts.
+ */
+constexpr microseconds kControlRetryAfter{ 1'000'000 };
+/** Time after which a workspace over its rate has tokens again. */
+constexpr microseconds kRateRetryAfter{ 1'000'000 };
 /** Crashes that are kept for the next report. */
 constexpr std::size_t kMaxCrashNotices = 200;
 
@@ -186,7 +193,7 @@
                                                               instant aNow)
 {
   if (!mConfig) {
-    return refusal{ refusal_reason::NoConfig };
+    return refusal{ refusal_reason::NoConfig, {}, kControlRetryAfter };
   }
   const route_rule* route = mConfig->FindRoute(aFacts.mHost, aFacts.mPath);
   if (route == nullptr) {
@@ -205,7 +212,7 @@
   const bool needsKey = !route->mIsOpen && !mConfig->GetConfig().mWorkspaces.empty();
   if (needsKey) {
     if (aNow >= mFreshUntil) {
-      return refusal{ refusal_reason::NotFresh };
+      return refusal{ refusal_reason::NotFresh, {}, kControlRetryAfter };
     }
     if (workspace == nullptr) {
       return refusal{ refusal_reason::UnknownKey };
@@ -221,7 +228,7 @@
   }
   if (workspace != nullptr && workspace->mRate > 0 && !ticket.mWorkspace.IsEmpty()) {
     if (!mMeter.TryTake(workspace->mName, aNow)) {
-      return refusal{ refusal_reason::RateExceeded, workspace->mName };
+      return refusal{ refusal_reason::RateExceeded, workspace->mName, kRateRetryAfter };
     }
     ticket.mIsMetered = true;
   }
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -92,6 +92,8 @@
   refusal_reason mReason = refusal_reason::NoBackend;
   /** Empty before the key is known. */
   workspace_name mWorkspace{};
+  /** Time after which the request may be served if it comes again; queues change within it. */
+  microseconds mRetryAfter{ 200'000 };
 };
 
 /** What follows the end of an attempt. */
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -13,10 +13,6 @@
 
 namespace {
 
-/** Time after which a caller may come back after a refusal that will soon be outdated. */
-constexpr const char* kRetryAfter = "0.2";
-/** Time to the next token of a workspace over its rate. */
-constexpr const char* kRateRetryAfter = "1";
 /** Margin by which a backend server stops before this VM does. */
 constexpr std::int64_t kDeadlineMarginMs = 5;
 
@@ -34,6 +30,13 @@
   return microseconds(static_cast<microseconds::rep>(milliseconds * 1'000));
 }
 
+std::string WriteSeconds(microseconds aTime)
+{
+  std::string milliseconds = std::to_string(aTime.count() / 1'000 % 1'000);
+  milliseconds.insert(0, 3 - milliseconds.size(), '0');
+  return std::to_string(aTime.count() / 1'000'000) + "." + milliseconds;
+}
+
 unsigned StatusOf(refusal_reason aReason)
 {
   switch (aReason) {
@@ -223,9 +226,12 @@
   const instant now = GetBootTime();
   std::variant<placement, refusal> place = mSteering.Place(aExchange->mTicket, now);
   if (const auto* refused = std::get_if<refusal>(&place)) {
-    RefuseExchange(aExchange,
-                   aExchange->mTicket.mMayHaveRun ? refusal_reason::OutcomeUnknown
-                                                  : refused->mReason);
+    refusal final = *refused;
+    if (aExchange->mTicket.mMayHaveRun) {
+      final.mReason = refusal_reason::OutcomeUnknown;
+    }
+    Refuse(aExchange->mRequest, final);
+    Forget(aExchange);
     return;
   }
   aExchange->mPlacement = std::move(std::get<placement>(place));
@@ -371,6 +377,7 @@
       "refused",
       { { "request", id == nullptr ? std::string() : *id },
         { "reason", ToString(aRefusal.mReason) },
+        { "retry_after_us", static_cast<std::int64_t>(aRefusal.mRetryAfter.count()) },
         { "workspace", aRefusal.mWorkspace.mValue },
         { "config",
           static_cast<std::uint64_t>(
@@ -385,10 +392,8 @@
     fields.push_back({ mNames.mRequestId, *id });
   }
   const unsigned status = StatusOf(aRefusal.mReason);
-  if (status == 429) {
-    fields.push_back({ "Retry-After", kRateRetryAfter });
-  } else if (status == 503) {
-    fields.push_back({ "Retry-After", kRetryAfter });
+  if (status == 429 || status == 503) {
+    fields.push_back({ "Retry-After", WriteSeconds(aRefusal.mRetryAfter) });
   }
   aRequest->Respond(
     MakeAnswer(status, mDialect->WriteError(ToString(aRefusal.mReason)), std::move(fields)));
--- a/tests/fleet/entry_steering_test.cpp
+++ b/tests/fleet/entry_steering_test.cpp
@@ -126,6 +126,18 @@
   CHECK(refusal_reason::UnknownKey == GetReason("/get/x"));
 }
 
+/** Guards against callers that use up their few attempts before a control VM can be found. */
+TEST(entry_steering, without_a_control_vm_callers_are_asked_to_come_back_after_an_election)
+{
+  const microseconds early = std::get<refusal>(Admit("/get/x")).mRetryAfter;
+  CHECK(early >= microseconds(1'000'000));
+  Update(1);
+  mNow += microseconds(4'800'000);
+  const refusal stale = std::get<refusal>(Admit("/get/x"));
+  CHECK(refusal_reason::NotFresh == stale.mReason);
+  CHECK(stale.mRetryAfter >= microseconds(1'000'000));
+}
+
 /** Guards against a withdrawn key that a VM without contact goes on accepting. */
 TEST(entry_steering, keys_are_refused_once_the_proof_is_too_old)
 {
