Judge backend servers by the outcomes that all entry VMs see

Ruled out: the pause after failed connections (these servers answer).

Change: reports carry counts of outcomes and run times as a multiple of the route's usual one; the leader compares the servers of a service and tells which of them fail or are slow. Without new outcomes a judgement fades, so that the server is tried again.

--- a/src/citronpulley/fleet/backend_registry.cpp
+++ b/src/citronpulley/fleet/backend_registry.cpp
@@ -181,10 +181,16 @@
   return list;
 }
 
-std::int64_t backend_registry::GetStart(const std::string& aBackend) const
+const backend_record* backend_registry::Find(const std::string& aBackend) const
 {
   const auto found = mEntries.find(aBackend);
-  return found == mEntries.end() ? 0 : found->second.mRecord.mStartedAtMs;
+  return found == mEntries.end() ? nullptr : &found->second.mRecord;
+}
+
+std::int64_t backend_registry::GetStart(const std::string& aBackend) const
+{
+  const backend_record* record = Find(aBackend);
+  return record == nullptr ? 0 : record->mStartedAtMs;
 }
 
 std::vector<const backend_record*> backend_registry::ListCold(instant aNow) const
--- a/src/citronpulley/fleet/backend_registry.h
+++ b/src/citronpulley/fleet/backend_registry.h
@@ -62,6 +62,9 @@
   /** @return backend servers that are cold now */
   std::vector<const backend_record*> ListCold(instant aNow) const;
 
+  /** @return the record of a backend server, or null when it is unknown */
+  const backend_record* Find(const std::string& aBackend) const;
+
   /** @return the start of a backend server, or 0 when it is unknown */
   std::int64_t GetStart(const std::string& aBackend) const;
 
--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -97,8 +97,16 @@
     report.mDemands.push_back({ account.mWorkspace, account.mDemand, account.mTokens });
   }
   report.mCrashes = std::exchange(mCrashes, {});
-  for (const backend_pool::seen_load& load : mPool.TakeSeenLoads()) {
-    report.mLoads.push_back({ load.mBackend, load.mRequests, (aNow - load.mSeenAt).count() });
+  for (const backend_pool::observation& seen : mPool.TakeObservations()) {
+    backend_observation observation;
+    observation.mBackend = seen.mBackend;
+    observation.mTally = seen.mTally;
+    if (seen.mLoad) {
+      observation.mHasLoad = true;
+      observation.mRequests = seen.mLoad->mRequests;
+      observation.mAge = (aNow - seen.mLoad->mSeenAt).count();
+    }
+    report.mObservations.push_back(std::move(observation));
   }
   return report;
 }
@@ -141,6 +149,11 @@
   for (const backend_load& load : aUpdate.mLoads) {
     mPool.TakeLoad({ load.mBackend, load.mRequests, aNow - microseconds(load.mAge) });
   }
+  std::map<std::string, backend_pool::shared_health> health;
+  for (const backend_health& one : aUpdate.mHealth) {
+    health.emplace(one.mBackend, backend_pool::shared_health{ one.mFailureRate, one.mSlowness });
+  }
+  mPool.SetSharedHealth(health);
   mQuarantined = { aUpdate.mQuarantined.begin(), aUpdate.mQuarantined.end() };
   return isNewConfig;
 }
@@ -264,19 +277,23 @@
   return *place;
 }
 
+microseconds entry_steering::GetRunTime(const admission_ticket& aTicket,
+                                        const placement& aPlacement) const
+{
+  const auto known = mRunTimes.find(aTicket.mRoute->mName);
+  return known == mRunTimes.end() ? aPlacement.mServiceTime
+                                  : known->second.Get().value_or(aPlacement.mServiceTime);
+}
+
 microseconds entry_steering::GetWaitLimit(const admission_ticket& aTicket,
                                           const placement& aPlacement,
                                           instant aNow) const
 {
-  const auto known = mRunTimes.find(aTicket.mRoute->mName);
-  const microseconds runTime = known == mRunTimes.end()
-                                 ? aPlacement.mServiceTime
-                                 : known->second.Get().value_or(aPlacement.mServiceTime);
   const microseconds objective = aTicket.mRoute->mObjective.value_or(kDefaultObjective);
   const auto least = microseconds(
     static_cast<microseconds::rep>(kMinWaitPart * static_cast<double>(objective.count())));
   // A queue that makes responses late serves nobody: they take the slots of those in time.
-  const microseconds inTime = std::max(least, objective - runTime);
+  const microseconds inTime = std::max(least, objective - GetRunTime(aTicket, aPlacement));
   return std::min(aTicket.mPriority == 0 ? 2 * inTime : inTime, aTicket.mDeadline - aNow);
 }
 
@@ -292,9 +309,11 @@
                                   microseconds aTook,
                                   instant aNow)
 {
-  mPool.NoteEnd(aPlacement.mBackend, aOutcome, aLoad, aTook, aNow);
+  run_time_estimate& runTime = mRunTimes[aTicket.mRoute->mName];
+  mPool.NoteEnd(
+    aPlacement.mBackend, aOutcome, aLoad, aTook, runTime.GetSlowness(aTook, aLoad), aNow);
   if (aOutcome == attempt_outcome::Answered) {
-    mRunTimes[aTicket.mRoute->mName].Note(aTook, aLoad);
+    runTime.Note(aTook, aLoad);
     return next_step::PassOn;
   }
   if (aOutcome == attempt_outcome::Abandoned || aOutcome == attempt_outcome::TimedOut) {
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -167,6 +167,8 @@
   instant GetFreshUntil() const noexcept { return mFreshUntil; }
 
 private:
+  /** @return time of a run of the route whose key is known, without the queue */
+  microseconds GetRunTime(const admission_ticket& aTicket, const placement& aPlacement) const;
   /** @return expected wait for a slot with which a request is refused rather than sent */
   microseconds GetWaitLimit(const admission_ticket& aTicket,
                             const placement& aPlacement,
--- a/src/citronpulley/fleet/fleet_control.cpp
+++ b/src/citronpulley/fleet/fleet_control.cpp
@@ -442,6 +442,19 @@
   }
 }
 
+void fleet_control::TakeObservations(const entry_report& aReport, instant aNow)
+{
+  for (const backend_observation& seen : aReport.mObservations) {
+    if (seen.mHasLoad) {
+      mBackends.TakeLoad({ seen.mBackend, seen.mRequests, seen.mAge }, aNow);
+    }
+    const backend_record* record = mBackends.Find(seen.mBackend);
+    if (record != nullptr && !seen.mTally.IsEmpty()) {
+      mHealth.Take(record->mId, record->mService, seen.mTally, aNow);
+    }
+  }
+}
+
 fleet_message fleet_control::AnswerReport(const entry_report& aReport,
                                           instant aNow,
                                           fleet_actions& aActions)
@@ -454,10 +467,9 @@
   }
   mEntries.Take(aReport, aNow);
   NoteCrashes(aReport, aNow, aActions);
-  for (const backend_load& load : aReport.mLoads) {
-    mBackends.TakeLoad(load, aNow);
-  }
+  TakeObservations(aReport, aNow);
   update.mLoads = mBackends.ListBusy(aNow);
+  update.mHealth = mHealth.List(aNow);
   update.mIsConfirmed = true;
   update.mProofAge = (aNow - *mGroup.GetConfirmedAt()).count();
   update.mConfig = mState.GetVersion();
--- a/src/citronpulley/fleet/fleet_control.h
+++ b/src/citronpulley/fleet/fleet_control.h
@@ -2,6 +2,7 @@
 #define CITRONPULLEY_FLEET_FLEET_CONTROL_H
 
 #include "citronpulley/consensus/consensus_group.h"
+#include "citronpulley/fleet/backend_health_table.h"
 #include "citronpulley/fleet/backend_registry.h"
 #include "citronpulley/fleet/entry_registry.h"
 #include "citronpulley/fleet/fleet_message.h"
@@ -168,6 +169,7 @@
   void ForwardAnnouncements(instant aNow, fleet_actions& aActions);
   void SendDirectory(instant aNow, fleet_actions& aActions);
   void NoteCrashes(const entry_report& aReport, instant aNow, fleet_actions& aActions);
+  void TakeObservations(const entry_report& aReport, instant aNow);
   void WritePermits(const entry_report& aReport, instant aNow, entry_update& aUpdate) const;
   fleet_message AnswerReport(const entry_report& aReport, instant aNow, fleet_actions& aActions);
 
@@ -183,6 +185,7 @@
   backend_registry mBackends;
   entry_registry mEntries;
   workspace_ledger mLedger;
+  backend_health_table mHealth;
   std::vector<vm_name> mControlVms;
   std::map<log_index, pending_command> mPending;
   std::map<std::uint64_t, on_read> mReads;
--- a/src/citronpulley/fleet/fleet_message.h
+++ b/src/citronpulley/fleet/fleet_message.h
@@ -5,6 +5,7 @@
 #include "citronpulley/base/result.h"
 #include "citronpulley/fleet/note_departure.h"
 #include "citronpulley/steering/backend_record.h"
+#include "citronpulley/steering/outcome_tally.h"
 #include "citronpulley/steering/traffic_config.h"
 #include "citronpulley/wire/peer_message.h"
 
@@ -111,6 +112,41 @@
   }
 };
 
+/** What an entry VM saw of a backend server since its last report. */
+struct backend_observation
+{
+  std::string mBackend;
+  /** False when no response stated a load. */
+  bool mHasLoad = false;
+  /** Requests that run and wait there, as the last response stated. */
+  double mRequests = 0;
+  /** Time since that response, in microseconds, when the message was sent. */
+  std::int64_t mAge = 0;
+  outcome_tally mTally;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mBackend, mHasLoad, mRequests, mAge, mTally);
+  }
+};
+
+/** Health of a backend server as the requests of all entry VMs show it. */
+struct backend_health
+{
+  std::string mBackend;
+  /** Part of the requests that fail. */
+  double mFailureRate = 0;
+  /** Run time as a multiple of what is usual for its service. */
+  double mSlowness = 1;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mBackend, mFailureRate, mSlowness);
+  }
+};
+
 /** Requests per second that one entry VM may send to a cold backend server. */
 struct warmup_permit
 {
@@ -171,8 +207,7 @@
   std::uint64_t mListRevision = 0;
   std::vector<workspace_demand> mDemands;
   std::vector<crash_notice> mCrashes;
-  /** Loads that responses stated since the last report. */
-  std::vector<backend_load> mLoads;
+  std::vector<backend_observation> mObservations;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
@@ -185,7 +220,7 @@
              mListRevision,
              mDemands,
              mCrashes,
-             mLoads);
+             mObservations);
   }
 };
 
@@ -215,6 +250,8 @@
   std::vector<warmup_permit> mPermits;
   /** Loads of busy backend servers that other entry VMs reported. */
   std::vector<backend_load> mLoads;
+  /** Backend servers that fail or are slow; all others are well. */
+  std::vector<backend_health> mHealth;
   /** Fingerprints of requests that crash backend servers. */
   std::vector<digest> mQuarantined;
 
@@ -237,6 +274,7 @@
              mGrants,
              mPermits,
              mLoads,
+             mHealth,
              mQuarantined);
   }
 };
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -30,6 +30,13 @@
 constexpr double kFailureServiceTimes = 6;
 /** A failure of a request that may not be repeated reaches its caller. */
 constexpr double kFinalFailureServiceTimes = 12;
+/**
+ * Cost of a run at a backend server that all VMs see to be slow, in mean service times, for each
+ * multiple of the usual run time: at two and a half times it exceeds a cold run elsewhere.
+ */
+constexpr double kSlownessServiceTimes = 2;
+/** Least multiple of the usual run time that counts; faster ones are errors of the estimate. */
+constexpr double kLeastSlowness = 0.5;
 /** Service time of a service without any response yet. */
 constexpr double kDefaultServiceTimeUs = 150'000;
 /** Weight of one response in the means. */
@@ -243,10 +250,11 @@
     // With a key, all VMs of the region must come to the same choice.
     score += kOtherZoneUs;
   }
-  score += GetFailureRate(aBackend, aNow) * mean *
+  score += std::max(GetFailureRate(aBackend, aNow), aBackend.mShared.mFailureRate) * mean *
            (aRequest.mIsIdempotent ? kFailureServiceTimes : kFinalFailureServiceTimes);
   // A single backend server far slower than its peers is slow itself; less is noise.
-  score += std::max(0.0, aBackend.mServiceTimeUs - 2 * mean);
+  score += std::max(std::max(0.0, aBackend.mServiceTimeUs - 2 * mean),
+                    (aBackend.mShared.mSlowness - 1) * kSlownessServiceTimes * mean);
   return score + aHome * kColdRunServiceTimes * mean;
 }
 
@@ -344,6 +352,7 @@
                            attempt_outcome aOutcome,
                            const std::optional<load_report>& aLoad,
                            microseconds aTook,
+                           double aSlowness,
                            instant aNow)
 {
   const auto found = mBackends.find(aBackend);
@@ -368,6 +377,7 @@
     return;
   }
   if (aOutcome == attempt_outcome::NotSent) {
+    ++backend.mTally.mFailures;
     const int doublings = std::min(backend.mConsecutiveFailures++, kMaxPauseDoublings);
     backend.mEjectedUntil = aNow + kFirstPause * (1 << doublings);
     return;
@@ -381,6 +391,12 @@
   backend.mFailureRate =
     GetFailureRate(backend, aNow) * (1 - kFailureWeight) + failure * kFailureWeight;
   backend.mJudgedAt = aNow;
+  if (failure > 0) {
+    ++backend.mTally.mFailures;
+  } else if (!isFull) {
+    ++backend.mTally.mAnswers;
+    backend.mTally.mSlowness += std::log(std::max(kLeastSlowness, aSlowness));
+  }
   if (aOutcome == attempt_outcome::Answered || aOutcome == attempt_outcome::TimedOut) {
     service& service = mServices[backend.mRecord.mService];
     const double took = GetRunTimeUs(aTook, aLoad);
@@ -406,17 +422,32 @@
   backend.mHasReport = true;
 }
 
-std::vector<backend_pool::seen_load> backend_pool::TakeSeenLoads()
+std::vector<backend_pool::observation> backend_pool::TakeObservations()
 {
-  std::vector<seen_load> list;
+  std::vector<observation> list;
   for (auto& [id, backend] : mBackends) {
-    if (std::exchange(backend.mIsReportNew, false)) {
-      list.push_back({ id, backend.mLoad.mRunning + backend.mLoad.mWaiting, backend.mReportedAt });
+    const bool hasLoad = std::exchange(backend.mIsReportNew, false);
+    if (!hasLoad && backend.mTally.IsEmpty()) {
+      continue;
+    }
+    observation seen{ id, std::nullopt, std::exchange(backend.mTally, {}) };
+    if (hasLoad) {
+      seen.mLoad =
+        seen_load{ id, backend.mLoad.mRunning + backend.mLoad.mWaiting, backend.mReportedAt };
     }
+    list.push_back(std::move(seen));
   }
   return list;
 }
 
+void backend_pool::SetSharedHealth(const std::map<std::string, shared_health>& aHealth)
+{
+  for (auto& [id, backend] : mBackends) {
+    const auto health = aHealth.find(id);
+    backend.mShared = health == aHealth.end() ? shared_health{} : health->second;
+  }
+}
+
 double backend_pool::GetUtilisation(const service& aService, bool aIsHome, instant aNow) const
 {
   double load = 0;
--- a/src/citronpulley/steering/backend_pool.h
+++ b/src/citronpulley/steering/backend_pool.h
@@ -4,6 +4,7 @@
 #include "citronpulley/base/instant.h"
 #include "citronpulley/steering/backend_record.h"
 #include "citronpulley/steering/load_report.h"
+#include "citronpulley/steering/outcome_tally.h"
 
 #include <cstdint>
 #include <map>
@@ -103,11 +104,17 @@
   /** Counts a request as sent; call it once for each chosen backend server. */
   void NoteSent(const std::string& aBackend, instant aNow);
 
-  /** Counts a request as ended. */
+  /**
+   * Counts a request as ended.
+   *
+   * @param aTook time since it was sent
+   * @param aSlowness run time as a multiple of what is usual for its route
+   */
   void NoteEnd(const std::string& aBackend,
                attempt_outcome aOutcome,
                const std::optional<load_report>& aLoad,
                microseconds aTook,
+               double aSlowness,
                instant aNow);
 
   /** Load that a response to this VM stated, or another VM saw. */
@@ -121,8 +128,27 @@
   /** Takes a load that another VM saw, if it is newer than what this VM knows. */
   void TakeLoad(const seen_load& aLoad);
 
-  /** @return loads that responses stated since the last call */
-  std::vector<seen_load> TakeSeenLoads();
+  /** What this VM saw of a backend server. */
+  struct observation
+  {
+    std::string mBackend;
+    /** The last load that a response stated. */
+    std::optional<seen_load> mLoad;
+    outcome_tally mTally;
+  };
+
+  /** @return what this VM saw since the last call */
+  std::vector<observation> TakeObservations();
+
+  /** Health as the requests of all VMs show it. */
+  struct shared_health
+  {
+    double mFailureRate = 0;
+    double mSlowness = 1;
+  };
+
+  /** Replaces the health that all VMs see together; backend servers that are not named are well. */
+  void SetSharedHealth(const std::map<std::string, shared_health>& aHealth);
 
   /** Adapts the part of each service's requests that leaves the region; call it regularly. */
   void AdaptSpill(instant aNow);
@@ -146,6 +172,9 @@
     bool mHasReport = false;
     /** The report was not told to the leader yet. */
     bool mIsReportNew = false;
+    /** Not told to the leader yet. */
+    outcome_tally mTally;
+    shared_health mShared;
     instant mEjectedUntil;
     int mConsecutiveFailures = 0;
     bool mIsOnTrial = false;
--- a/src/citronpulley/steering/run_time_estimate.cpp
+++ b/src/citronpulley/steering/run_time_estimate.cpp
@@ -38,4 +38,10 @@
   return microseconds(static_cast<microseconds::rep>(mMicroseconds));
 }
 
+double run_time_estimate::GetSlowness(microseconds aTook,
+                                      const std::optional<load_report>& aLoad) const noexcept
+{
+  return mMicroseconds == 0 ? 1 : GetRunTimeUs(aTook, aLoad) / mMicroseconds;
+}
+
 } // namespace citronpulley
--- a/src/citronpulley/steering/run_time_estimate.h
+++ b/src/citronpulley/steering/run_time_estimate.h
@@ -27,6 +27,9 @@
   /** @return the estimate, or nothing before the first response */
   std::optional<microseconds> Get() const noexcept;
 
+  /** @return the run time of a response as a multiple of the estimate; 1 before the first one */
+  double GetSlowness(microseconds aTook, const std::optional<load_report>& aLoad) const noexcept;
+
 private:
   double mMicroseconds = 0;
 };
--- a/src/citronpulley/steering/steering.h
+++ b/src/citronpulley/steering/steering.h
@@ -10,6 +10,8 @@
 
 #include "citronpulley/steering/backend_pool.h"
 #include "citronpulley/steering/backend_record.h"
+#include "citronpulley/steering/load_report.h"
+#include "citronpulley/steering/outcome_tally.h"
 #include "citronpulley/steering/route_index.h"
 #include "citronpulley/steering/run_time_estimate.h"
 #include "citronpulley/steering/traffic_config.h"
--- a/tests/steering/backend_pool_test.cpp
+++ b/tests/steering/backend_pool_test.cpp
@@ -54,7 +54,7 @@
   void End(const std::string& aId, attempt_outcome aOutcome)
   {
     mPool.NoteSent(aId, mNow);
-    mPool.NoteEnd(aId, aOutcome, std::nullopt, microseconds(50'000), mNow);
+    mPool.NoteEnd(aId, aOutcome, std::nullopt, microseconds(50'000), 1, mNow);
   }
 };
 
@@ -167,7 +167,7 @@
   STRCMP_EQUAL("n", Choose().c_str());
   mPool.NoteSent("n", mNow);
   STRCMP_EQUAL("", Choose().c_str());
-  mPool.NoteEnd("n", attempt_outcome::Answered, std::nullopt, microseconds(1'000), mNow);
+  mPool.NoteEnd("n", attempt_outcome::Answered, std::nullopt, microseconds(1'000), 1, mNow);
   STRCMP_EQUAL("n", Choose().c_str());
 }
 
@@ -226,6 +226,38 @@
   }
 }
 
+/** Guards against a server that each VM tries for itself although the others know that it fails. */
+TEST(backend_pool, health_that_all_vms_see_moves_keys_until_it_is_good_again)
+{
+  for (const char* id : { "a", "b", "c" }) {
+    Add(id, "north-a");
+  }
+  const std::string first = Choose();
+  mPool.SetSharedHealth({ { first, { 0.8, 1 } } });
+  CHECK(Choose() != first);
+  mPool.SetSharedHealth({ { first, { 0, 4 } } });
+  CHECK(Choose() != first);
+  mPool.SetSharedHealth({ { first, { 0.1, 1.5 } } });
+  STRCMP_EQUAL(first.c_str(), Choose().c_str());
+  mPool.SetSharedHealth({});
+  STRCMP_EQUAL(first.c_str(), Choose().c_str());
+}
+
+/** Guards against outcomes that are told twice, or not at all. */
+TEST(backend_pool, outcomes_are_told_once)
+{
+  Add("n", "north-a");
+  End("n", attempt_outcome::Answered);
+  End("n", attempt_outcome::Lost);
+  End("n", attempt_outcome::Abandoned);
+  const std::vector<backend_pool::observation> seen = mPool.TakeObservations();
+  LONGS_EQUAL(1, seen.size());
+  LONGS_EQUAL(1, seen.front().mTally.mAnswers);
+  LONGS_EQUAL(1, seen.front().mTally.mFailures);
+  CHECK(!seen.front().mLoad);
+  CHECK(mPool.TakeObservations().empty());
+}
+
 /** Guards against a queue at a backend server that only the other VMs see. */
 TEST(backend_pool, a_load_that_another_vm_saw_counts_until_an_own_report_is_newer)
 {
@@ -234,11 +266,12 @@
   CHECK(mPool.Choose(MakeRequest(), mNow)->mExpectedWait > microseconds(100'000));
   mNow += microseconds(100'000);
   mPool.NoteSent("n", mNow);
-  mPool.NoteEnd("n", attempt_outcome::Answered, load_report{ 1, 0, 4 }, microseconds(50'000), mNow);
+  mPool.NoteEnd(
+    "n", attempt_outcome::Answered, load_report{ 1, 0, 4 }, microseconds(50'000), 1, mNow);
   mPool.TakeLoad({ "n", 12, mNow - microseconds(50'000) });
   CHECK(mPool.Choose(MakeRequest(), mNow)->mExpectedWait == microseconds(0));
-  LONGS_EQUAL(1, mPool.TakeSeenLoads().size());
-  LONGS_EQUAL(0, mPool.TakeSeenLoads().size());
+  LONGS_EQUAL(1, mPool.TakeObservations().size());
+  LONGS_EQUAL(0, mPool.TakeObservations().size());
 }
 
 /** Guards against a shift of more than 15% of a region's requests between two windows of 2 s. */
