Make the tests of votes and freshness bite

Checked by hand: without `isFree` and without the comparison of the logs, one test of votes fails each.

--- a/tests/consensus/random_faults_test.cpp
+++ b/tests/consensus/random_faults_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr int kVms = 3;
-constexpr std::uint64_t kSeeds = 40;
+constexpr std::uint64_t kSeeds = 3'000;
 constexpr std::size_t kMeanSuccesses = 80;
 
 std::uint64_t CountSeeds()
--- /dev/null
+++ b/tests/consensus/vote_test.cpp
@@ -0,0 +1,126 @@
+#include "consensus/group_harness.h"
+
+#include <CppUTest/TestHarness.h>
+#include <optional>
+#include <variant>
+
+using namespace citronpulley;
+
+namespace {
+
+constexpr microseconds kSecond{ 1'000'000 };
+constexpr std::uint64_t kSeed = 11;
+
+} // namespace
+
+/** A follower that was cut off until it hears no leader, and vote requests of its two peers. */
+TEST_GROUP(vote)
+{
+  group_harness mGroups{ 3, kSeed };
+  int mVoter = 0;
+  /** Term of the voter's last entry, and of the requests. */
+  term_number mLogTerm = 0;
+  term_number mTerm = 0;
+
+  void setup() override
+  {
+    CHECK(mGroups.RunUntilFormed(20 * kSecond));
+    const int leader = mGroups.FindLeader();
+    CHECK(leader >= 0);
+    for (int i = 0; i < 5; ++i) {
+      CHECK(mGroups.Propose(leader));
+      mGroups.Run(kSecond / 10);
+    }
+    mVoter = (leader + 1) % 3;
+    mGroups.Isolate(mVoter, true);
+    mGroups.Run(3 * kSecond);
+    // The cut-off member does not raise its term before it finds a majority.
+    mLogTerm = mGroups.GetGroup(mVoter).GetTerm();
+    mTerm = mLogTerm + 5;
+  }
+
+  member_id FindMember(int aVm)
+  {
+    for (const citronpulley::group_member& member :
+         mGroups.GetGroup(mVoter).GetMembership().mMembers) {
+      if (member.mVm == vm_name("vm-" + std::to_string(aVm))) {
+        return member.mMember;
+      }
+    }
+    return {};
+  }
+
+  vote_request MakeRequest(int aCandidate)
+  {
+    consensus_group& voter = mGroups.GetGroup(mVoter);
+    vote_request request;
+    request.mTerm = mTerm;
+    request.mCandidate = FindMember(aCandidate);
+    request.mLastIndex = voter.GetLastIndex();
+    request.mLastTerm = mLogTerm;
+    request.mGroup = voter.GetMembership().mGroup;
+    request.mReceiver = FindMember(mVoter);
+    return request;
+  }
+
+  /** @return whether the vote is granted once everything is stored, or nothing without a reply */
+  std::optional<bool> Ask(int aCandidate, const vote_request& aRequest)
+  {
+    consensus_group& voter = mGroups.GetGroup(mVoter);
+    group_actions actions;
+    voter.Receive(vm_name("vm-" + std::to_string(aCandidate)), aRequest, mGroups.GetNow(), actions);
+    std::optional<bool> granted;
+    for (std::size_t i = 0; i < actions.size(); ++i) {
+      if (const auto* batch = std::get_if<storage_batch>(&actions[i])) {
+        voter.TakeStored(batch->mNumber, mGroups.GetNow(), actions);
+      }
+      if (const auto* send = std::get_if<send_to_member>(&actions[i])) {
+        if (const auto* reply = std::get_if<vote_reply>(&send->mMessage)) {
+          granted = reply->mIsGranted;
+        }
+      }
+    }
+    return granted;
+  }
+};
+
+/** Guards against two leaders in a term: a member votes for one candidate, however often it asks.
+ */
+TEST(vote, is_given_to_one_candidate_in_a_term)
+{
+  const int one = (mVoter + 1) % 3;
+  const int other = (mVoter + 2) % 3;
+  CHECK(Ask(one, MakeRequest(one)) == true);
+  CHECK(Ask(other, MakeRequest(other)) == false);
+  CHECK(Ask(one, MakeRequest(one)) == true);
+  ++mTerm;
+  CHECK(Ask(other, MakeRequest(other)) == true);
+}
+
+/** Guards against a leader that lacks acknowledged entries, elected by members that hold them. */
+TEST(vote, is_refused_to_a_candidate_whose_log_is_behind)
+{
+  const int candidate = (mVoter + 1) % 3;
+  vote_request shorter = MakeRequest(candidate);
+  --shorter.mLastIndex;
+  CHECK(Ask(candidate, shorter) == false);
+  ++mTerm;
+  vote_request older = MakeRequest(candidate);
+  older.mLastIndex += 100;
+  --older.mLastTerm;
+  CHECK(Ask(candidate, older) == false);
+  ++mTerm;
+  CHECK(Ask(candidate, MakeRequest(candidate)) == true);
+}
+
+/** Guards against votes that count for a former member, or for another group. */
+TEST(vote, is_not_answered_for_another_member_or_group)
+{
+  const int candidate = (mVoter + 1) % 3;
+  vote_request foreign = MakeRequest(candidate);
+  ++foreign.mGroup;
+  CHECK(!Ask(candidate, foreign));
+  vote_request former = MakeRequest(candidate);
+  former.mReceiver = former.mCandidate;
+  CHECK(!Ask(candidate, former));
+}
--- a/tests/fleet/entry_steering_test.cpp
+++ b/tests/fleet/entry_steering_test.cpp
@@ -126,6 +126,20 @@
   CHECK(refusal_reason::UnknownKey == GetReason("/get/x"));
 }
 
+/** Guards against freshness that counts from the reply: the proof may be as old as the report. */
+TEST(entry_steering, freshness_counts_from_the_time_at_which_the_report_was_sent)
+{
+  Update(1);
+  const instant sentAt = mNow;
+  entry_update update;
+  update.mNumber = mSteering.MakeReport(true, mNow).mNumber;
+  update.mIsConfirmed = true;
+  update.mConfig = 1;
+  mNow += microseconds(700'000);
+  mSteering.Take(update, sentAt, mNow);
+  CHECK(mSteering.GetFreshUntil() == sentAt + microseconds(4'800'000));
+}
+
 /** Guards against callers that use up their few attempts before a control VM can be found. */
 TEST(entry_steering, without_a_control_vm_callers_are_asked_to_come_back_after_an_election)
 {
