Pause after a connection could not be accepted

Cause: an accept that fails for want of descriptors failed again at once, in a loop that used the whole processor until a descriptor was free.

Change: both listeners wait 20 ms before the next try.

--- a/src/citronpulley/gateway/fleet_bus.cpp
+++ b/src/citronpulley/gateway/fleet_bus.cpp
@@ -20,6 +20,7 @@
   : mIo(aIo)
   , mOnMessage(std::move(aOnMessage))
   , mAcceptor(aIo)
+  , mPause(aIo)
 {
 }
 
@@ -39,16 +40,19 @@
       if (aError == asio::error::operation_aborted) {
         return;
       }
-      if (!aError) {
-        auto connection = std::make_shared<frame_connection>(
-          std::move(aSocket),
-          [this](const auto& aConnection, const std::string& aFrame) {
-            TakeFrame(aConnection, aFrame);
-          },
-          [] {});
-        mAccepted.push_back(connection);
-        connection->Start();
+      if (aError) {
+        mPause.expires_after(kAcceptPause);
+        mPause.async_wait([this](const boost::system::error_code&) { Accept(); });
+        return;
       }
+      auto connection = std::make_shared<frame_connection>(
+        std::move(aSocket),
+        [this](const auto& aConnection, const std::string& aFrame) {
+          TakeFrame(aConnection, aFrame);
+        },
+        [] {});
+      mAccepted.push_back(connection);
+      connection->Start();
       Accept();
     });
 }
--- a/src/citronpulley/gateway/fleet_bus.h
+++ b/src/citronpulley/gateway/fleet_bus.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
 #include <map>
@@ -63,6 +64,7 @@
   boost::asio::io_context& mIo;
   on_message mOnMessage;
   boost::asio::ip::tcp::acceptor mAcceptor;
+  boost::asio::steady_timer mPause;
   std::map<vm_name, link> mLinks;
   std::list<std::shared_ptr<frame_connection>> mAccepted;
 };
--- a/src/citronpulley/gateway/http_listener.cpp
+++ b/src/citronpulley/gateway/http_listener.cpp
@@ -50,6 +50,7 @@
 
 http_listener::http_listener(asio::io_context& aIo, std::shared_ptr<http_session_context> aContext)
   : mAcceptor(aIo)
+  , mPause(aIo)
   , mContext(std::move(aContext))
 {
 }
@@ -70,10 +71,13 @@
       if (aError == asio::error::operation_aborted) {
         return;
       }
-      if (!aError) {
-        mSessions.push_back(std::make_shared<http_session>(std::move(aSocket), mContext));
-        mSessions.back()->Start();
+      if (aError) {
+        mPause.expires_after(kAcceptPause);
+        mPause.async_wait([this](const boost::system::error_code&) { Accept(); });
+        return;
       }
+      mSessions.push_back(std::make_shared<http_session>(std::move(aSocket), mContext));
+      mSessions.back()->Start();
       Accept();
     });
 }
--- a/src/citronpulley/gateway/http_listener.h
+++ b/src/citronpulley/gateway/http_listener.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <list>
 #include <memory>
 #include <string>
@@ -36,10 +37,14 @@
   void Accept();
 
   boost::asio::ip::tcp::acceptor mAcceptor;
+  boost::asio::steady_timer mPause;
   std::shared_ptr<http_session_context> mContext;
   std::list<std::shared_ptr<http_session>> mSessions;
 };
 
+/** Pause after a connection could not be accepted, for instance for want of descriptors. */
+constexpr microseconds kAcceptPause{ 20'000 };
+
 /** @return the endpoint of an address `IP:port`, or an error */
 result<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& aAddress);
 
