Let a report cost the leader only what its VM misses

Change: changes are kept by revision, cold servers in a set, busy ones are looked for every 50 ms. The spill of backend_pool, its hash, and the answering of reports get files of their own. The leader logs which backend servers become suspected and trusted again.

--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -19,7 +19,6 @@
 namespace {
 
 constexpr int kZones = 9;
-constexpr int kBackends = 483;
 constexpr int kWorkspaces = 86;
 constexpr microseconds kInterval{ 300'000 };
 
@@ -101,7 +100,8 @@
 {
   backend_registry registry(1);
   const instant now{ microseconds(100'000'000) };
-  for (int i = 0; i < kBackends; ++i) {
+  const auto count = static_cast<int>(aState.range(0));
+  for (int i = 0; i < count; ++i) {
     backend_record record;
     record.mId = "i-" + std::to_string(i * 7'919);
     record.mAddress = server_name("10.1.64." + std::to_string(i) + ":8000");
@@ -114,14 +114,14 @@
   for (auto _ : aState) {
     entry_update update;
     update.mLoads = registry.ListBusy(now);
-    registry.WriteNews(1, kBackends, now, update);
+    registry.WriteNews(1, static_cast<std::uint64_t>(count), now, update);
     benchmark::DoNotOptimize(update);
   }
 }
 
 BENCHMARK(LendTokens)->Arg(30)->Arg(133)->Arg(300);
 BENCHMARK(ChooseSenders)->Args({ 133, 86 })->Args({ 300, 86 });
-BENCHMARK(ListChanges);
+BENCHMARK(ListChanges)->Arg(483)->Arg(2997);
 
 } // namespace
 
--- a/src/citronpulley/fleet/backend_registry.cpp
+++ b/src/citronpulley/fleet/backend_registry.cpp
@@ -56,7 +56,12 @@
   mByAddress[aRecord.mAddress] = aRecord.mId;
   if (isNews) {
     entry.mColdUntil = coldUntil;
+    mByRevision.erase(entry.mRevision);
     entry.mRevision = ++mRevision;
+    mByRevision.emplace(mRevision, aRecord.mId);
+    if (coldUntil > aNow) {
+      mCold.insert(aRecord.mId);
+    }
   }
   return isNews;
 }
@@ -88,6 +93,7 @@
   if (place != mByAddress.end() && place->second == aBackend) {
     mByAddress.erase(place);
   }
+  mByRevision.erase(found->second.mRevision);
   mEntries.erase(found);
   mRemovals.emplace_back(++mRevision, aBackend);
   if (mRemovals.size() > kMaxRemovals) {
@@ -114,14 +120,22 @@
   }
 }
 
-std::vector<backend_load> backend_registry::ListBusy(instant aNow) const
+std::vector<backend_load> backend_registry::ListBusy(instant aNow)
 {
-  std::vector<backend_load> list;
-  for (const auto& [id, entry] : mEntries) {
-    if (entry.mLoadAt + kLoadLife > aNow && entry.mLoad >= kBusy * entry.mRecord.mSlots) {
-      list.push_back({ id, entry.mLoad, (aNow - entry.mLoadAt).count() });
+  if (mNextBusyAt <= aNow) {
+    mNextBusyAt = aNow + kBusyInterval;
+    mBusy.clear();
+    for (const auto& [id, entry] : mEntries) {
+      if (entry.mLoadAt + kLoadLife > aNow && entry.mLoad >= kBusy * entry.mRecord.mSlots) {
+        mBusy.push_back({ id, entry.mLoad, entry.mLoadAt });
+      }
     }
   }
+  std::vector<backend_load> list;
+  list.reserve(mBusy.size());
+  for (const busy_backend& busy : mBusy) {
+    list.push_back({ busy.mId, busy.mLoad, (aNow - busy.mLoadAt).count() });
+  }
   return list;
 }
 
@@ -155,10 +169,9 @@
   aUpdate.mListEpoch = mEpoch;
   aUpdate.mListRevision = mRevision;
   aUpdate.mIsWholeList = isWhole;
-  for (const auto& [id, entry] : mEntries) {
-    if (isWhole || entry.mRevision > aRevision) {
-      aUpdate.mBackends.push_back(Present(entry, aNow));
-    }
+  for (auto place = mByRevision.upper_bound(isWhole ? 0 : aRevision); place != mByRevision.end();
+       ++place) {
+    aUpdate.mBackends.push_back(Present(mEntries.at(place->second), aNow));
   }
   if (isWhole) {
     return;
@@ -193,13 +206,17 @@
   return record == nullptr ? 0 : record->mStartedAtMs;
 }
 
-std::vector<const backend_record*> backend_registry::ListCold(instant aNow) const
+std::vector<const backend_record*> backend_registry::ListCold(instant aNow)
 {
   std::vector<const backend_record*> list;
-  for (const auto& [id, entry] : mEntries) {
-    if (entry.mColdUntil > aNow) {
-      list.push_back(&entry.mRecord);
+  for (auto place = mCold.begin(); place != mCold.end();) {
+    const auto found = mEntries.find(*place);
+    if (found == mEntries.end() || found->second.mColdUntil <= aNow) {
+      place = mCold.erase(place);
+      continue;
     }
+    list.push_back(&found->second.mRecord);
+    ++place;
   }
   return list;
 }
--- a/src/citronpulley/fleet/backend_registry.h
+++ b/src/citronpulley/fleet/backend_registry.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,6 +23,8 @@
 public:
   /** Silence after which a backend server is forgotten; ten announcements. */
   static constexpr microseconds kForgetAfter{ 15'000'000 };
+  /** Time between two searches for busy backend servers; each report asks for them. */
+  static constexpr microseconds kBusyInterval{ 50'000 };
   /** Removals that are kept for entry VMs that lag. */
   static constexpr std::size_t kMaxRemovals = 1'000;
 
@@ -45,7 +48,7 @@
   void TakeLoad(const backend_load& aLoad, instant aNow);
 
   /** @return recent loads of backend servers that are nearly or more than full */
-  std::vector<backend_load> ListBusy(instant aNow) const;
+  std::vector<backend_load> ListBusy(instant aNow);
 
   /** Forgets backend servers that are silent for long. */
   void Expire(instant aNow);
@@ -60,7 +63,7 @@
   std::vector<backend_record> ListHeardSince(instant aSince, instant aNow) const;
 
   /** @return backend servers that are cold now */
-  std::vector<const backend_record*> ListCold(instant aNow) const;
+  std::vector<const backend_record*> ListCold(instant aNow);
 
   /** @return the record of a backend server, or null when it is unknown */
   const backend_record* Find(const std::string& aBackend) const;
@@ -81,6 +84,13 @@
     instant mLoadAt;
   };
 
+  struct busy_backend
+  {
+    std::string mId;
+    double mLoad = 0;
+    instant mLoadAt;
+  };
+
   static backend_record Present(const entry& aEntry, instant aNow);
   bool IsReplacedAt(const backend_record& aRecord);
   void Drop(const std::string& aBackend);
@@ -89,6 +99,12 @@
   std::uint64_t mRevision = 0;
   std::map<std::string, entry> mEntries;
   std::map<server_name, std::string> mByAddress;
+  /** Backend servers by their last change, so that a report costs only what it misses. */
+  std::map<std::uint64_t, std::string> mByRevision;
+  /** All that are cold, and some that no longer are. */
+  std::set<std::string> mCold;
+  std::vector<busy_backend> mBusy;
+  instant mNextBusyAt;
   std::deque<std::pair<std::uint64_t, std::string>> mRemovals;
   /** Removals up to this revision are no longer known. */
   std::uint64_t mOldestRemoval = 0;
--- a/src/citronpulley/fleet/fleet_control.cpp
+++ b/src/citronpulley/fleet/fleet_control.cpp
@@ -12,8 +12,6 @@
 
 /** Age up to which the records of a control VM are passed on to a new leader. */
 constexpr microseconds kPassOnAge{ 6'000'000 };
-/** Departures that an entry VM may have missed when it turns to another leader. */
-constexpr std::size_t kMaxDeparturesTold = 200;
 /** Voters without which no change is accepted, if there are as many seeds. */
 constexpr std::size_t kMinVoters = 3;
 
@@ -406,90 +404,4 @@
   }
 }
 
-void fleet_control::NoteCrashes(const entry_report& aReport, instant aNow, fleet_actions& aActions)
-{
-  for (const crash_notice& notice : aReport.mCrashes) {
-    crash_record& record = mCrashes[notice.mFingerprint];
-    record.mBackends.insert(notice.mBackend);
-    record.mLastAt = aNow;
-    if (record.mBackends.size() == kQuarantineCrashes) {
-      aActions.emplace_back(
-        fleet_event{ "request_quarantined",
-                     { { "fingerprint", ToHex(notice.mFingerprint) },
-                       { "crashes", std::to_string(record.mBackends.size()) } } });
-    }
-  }
-  std::erase_if(mCrashes, [aNow](const auto& aRecord) {
-    return aRecord.second.mLastAt + kQuarantineFor <= aNow;
-  });
-}
-
-void fleet_control::WritePermits(const entry_report& aReport,
-                                 instant aNow,
-                                 entry_update& aUpdate) const
-{
-  for (const backend_record* backend : mBackends.ListCold(aNow)) {
-    const auto service =
-      std::ranges::find(mConfig.mServices, backend->mService, &service_rule::mName);
-    if (service == mConfig.mServices.end() || service->mWarmupRate <= 0) {
-      continue;
-    }
-    const std::optional<double> rate =
-      mEntries.FindWarmupRate(aReport.mPlace.mVm, *backend, service->mWarmupRate, aNow);
-    if (rate) {
-      aUpdate.mPermits.push_back({ backend->mId, *rate });
-    }
-  }
-}
-
-void fleet_control::TakeObservations(const entry_report& aReport, instant aNow)
-{
-  for (const backend_observation& seen : aReport.mObservations) {
-    if (seen.mHasLoad) {
-      mBackends.TakeLoad({ seen.mBackend, seen.mRequests, seen.mAge }, aNow);
-    }
-    const backend_record* record = mBackends.Find(seen.mBackend);
-    if (record != nullptr && !seen.mTally.IsEmpty()) {
-      mHealth.Take(record->mId, record->mService, seen.mTally, aNow);
-    }
-  }
-}
-
-fleet_message fleet_control::AnswerReport(const entry_report& aReport,
-                                          instant aNow,
-                                          fleet_actions& aActions)
-{
-  entry_update update;
-  update.mNumber = aReport.mNumber;
-  update.mContacts = GetContacts();
-  if (!mGroup.IsConfirmedLeader(aNow)) {
-    return update;
-  }
-  mEntries.Take(aReport, aNow);
-  NoteCrashes(aReport, aNow, aActions);
-  TakeObservations(aReport, aNow);
-  update.mLoads = mBackends.ListBusy(aNow);
-  update.mHealth = mHealth.List(aNow);
-  update.mIsConfirmed = true;
-  update.mProofAge = (aNow - *mGroup.GetConfirmedAt()).count();
-  update.mConfig = mState.GetVersion();
-  if (aReport.mConfig != mState.GetVersion()) {
-    update.mConfigText = mPackedText;
-  }
-  update.mEvacuatedZones.assign(mState.GetEvacuatedZones().begin(),
-                                mState.GetEvacuatedZones().end());
-  mBackends.WriteNews(aReport.mListEpoch, aReport.mListRevision, aNow, update);
-  if (update.mIsWholeList) {
-    update.mDepartures = mState.ListDepartures(kMaxDeparturesTold);
-  }
-  update.mGrants = mLedger.Take(aReport, aNow);
-  WritePermits(aReport, aNow, update);
-  for (const auto& [fingerprint, record] : mCrashes) {
-    if (record.mBackends.size() >= kQuarantineCrashes) {
-      update.mQuarantined.push_back(fingerprint);
-    }
-  }
-  return update;
-}
-
 } // namespace citronpulley
--- a/src/citronpulley/fleet/fleet_control.h
+++ b/src/citronpulley/fleet/fleet_control.h
@@ -170,7 +170,9 @@
   void SendDirectory(instant aNow, fleet_actions& aActions);
   void NoteCrashes(const entry_report& aReport, instant aNow, fleet_actions& aActions);
   void TakeObservations(const entry_report& aReport, instant aNow);
-  void WritePermits(const entry_report& aReport, instant aNow, entry_update& aUpdate) const;
+  /** Tells the log which backend servers are suspected, and which no longer. */
+  void NoteSuspects(const std::vector<backend_health>& aSuspects, fleet_actions& aActions);
+  void WritePermits(const entry_report& aReport, instant aNow, entry_update& aUpdate);
   fleet_message AnswerReport(const entry_report& aReport, instant aNow, fleet_actions& aActions);
 
   fleet_control_settings mSettings;
@@ -186,6 +188,8 @@
   entry_registry mEntries;
   workspace_ledger mLedger;
   backend_health_table mHealth;
+  /** Backend servers that the log names as suspected. */
+  std::set<std::string> mSuspects;
   std::vector<vm_name> mControlVms;
   std::map<log_index, pending_command> mPending;
   std::map<std::uint64_t, on_read> mReads;
--- /dev/null
+++ b/src/citronpulley/fleet/fleet_control_reports.cpp
@@ -0,0 +1,121 @@
+#include "citronpulley/fleet/fleet_control.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronpulley {
+
+namespace {
+
+/** Departures that an entry VM may have missed when it turns to another leader. */
+constexpr std::size_t kMaxDeparturesTold = 200;
+
+} // namespace
+
+void fleet_control::NoteCrashes(const entry_report& aReport, instant aNow, fleet_actions& aActions)
+{
+  for (const crash_notice& notice : aReport.mCrashes) {
+    crash_record& record = mCrashes[notice.mFingerprint];
+    record.mBackends.insert(notice.mBackend);
+    record.mLastAt = aNow;
+    if (record.mBackends.size() == kQuarantineCrashes) {
+      aActions.emplace_back(
+        fleet_event{ "request_quarantined",
+                     { { "fingerprint", ToHex(notice.mFingerprint) },
+                       { "crashes", std::to_string(record.mBackends.size()) } } });
+    }
+  }
+  std::erase_if(mCrashes, [aNow](const auto& aRecord) {
+    return aRecord.second.mLastAt + kQuarantineFor <= aNow;
+  });
+}
+
+void fleet_control::WritePermits(const entry_report& aReport, instant aNow, entry_update& aUpdate)
+{
+  for (const backend_record* backend : mBackends.ListCold(aNow)) {
+    const auto service =
+      std::ranges::find(mConfig.mServices, backend->mService, &service_rule::mName);
+    if (service == mConfig.mServices.end() || service->mWarmupRate <= 0) {
+      continue;
+    }
+    const std::optional<double> rate =
+      mEntries.FindWarmupRate(aReport.mPlace.mVm, *backend, service->mWarmupRate, aNow);
+    if (rate) {
+      aUpdate.mPermits.push_back({ backend->mId, *rate });
+    }
+  }
+}
+
+void fleet_control::TakeObservations(const entry_report& aReport, instant aNow)
+{
+  for (const backend_observation& seen : aReport.mObservations) {
+    if (seen.mHasLoad) {
+      mBackends.TakeLoad({ seen.mBackend, seen.mRequests, seen.mAge }, aNow);
+    }
+    const backend_record* record = mBackends.Find(seen.mBackend);
+    if (record != nullptr && !seen.mTally.IsEmpty()) {
+      mHealth.Take(record->mId, record->mService, seen.mTally, aNow);
+    }
+  }
+}
+
+void fleet_control::NoteSuspects(const std::vector<backend_health>& aSuspects,
+                                 fleet_actions& aActions)
+{
+  std::set<std::string> suspects;
+  for (const backend_health& one : aSuspects) {
+    suspects.insert(one.mBackend);
+    if (!mSuspects.contains(one.mBackend)) {
+      aActions.emplace_back(fleet_event{ "backend_suspected",
+                                         { { "backend", one.mBackend },
+                                           { "failure_rate", std::to_string(one.mFailureRate) },
+                                           { "slowness", std::to_string(one.mSlowness) } } });
+    }
+  }
+  for (const std::string& id : mSuspects) {
+    if (!suspects.contains(id)) {
+      aActions.emplace_back(fleet_event{ "backend_trusted", { { "backend", id } } });
+    }
+  }
+  mSuspects = std::move(suspects);
+}
+
+fleet_message fleet_control::AnswerReport(const entry_report& aReport,
+                                          instant aNow,
+                                          fleet_actions& aActions)
+{
+  entry_update update;
+  update.mNumber = aReport.mNumber;
+  update.mContacts = GetContacts();
+  if (!mGroup.IsConfirmedLeader(aNow)) {
+    return update;
+  }
+  mEntries.Take(aReport, aNow);
+  NoteCrashes(aReport, aNow, aActions);
+  TakeObservations(aReport, aNow);
+  update.mLoads = mBackends.ListBusy(aNow);
+  update.mHealth = mHealth.List(aNow);
+  NoteSuspects(update.mHealth, aActions);
+  update.mIsConfirmed = true;
+  update.mProofAge = (aNow - *mGroup.GetConfirmedAt()).count();
+  update.mConfig = mState.GetVersion();
+  if (aReport.mConfig != mState.GetVersion()) {
+    update.mConfigText = mPackedText;
+  }
+  update.mEvacuatedZones.assign(mState.GetEvacuatedZones().begin(),
+                                mState.GetEvacuatedZones().end());
+  mBackends.WriteNews(aReport.mListEpoch, aReport.mListRevision, aNow, update);
+  if (update.mIsWholeList) {
+    update.mDepartures = mState.ListDepartures(kMaxDeparturesTold);
+  }
+  update.mGrants = mLedger.Take(aReport, aNow);
+  WritePermits(aReport, aNow, update);
+  for (const auto& [fingerprint, record] : mCrashes) {
+    if (record.mBackends.size() >= kQuarantineCrashes) {
+      update.mQuarantined.push_back(fingerprint);
+    }
+  }
+  return update;
+}
+
+} // namespace citronpulley
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -1,5 +1,6 @@
 #include "citronpulley/steering/backend_pool.h"
 
+#include "citronpulley/steering/key_hash.h"
 #include "citronpulley/steering/run_time_estimate.h"
 
 #include <algorithm>
@@ -52,35 +53,6 @@
 constexpr int kMaxPauseDoublings = 3;
 /** Backend servers of a zone that is taken back count as cold until they say otherwise. */
 constexpr microseconds kTakenBackWarmup{ 2'000'000 };
-/** Steps of the part that leaves the region: 6% a second keeps two seconds under 15%. */
-constexpr microseconds kSpillInterval{ 250'000 };
-constexpr double kSpillStep = 0.015;
-/** A key that comes home finds its backend server there still warm only for a while. */
-constexpr double kSpillReturnStep = 0.005;
-/** Weight of one look at the utilisation: a burst of cold runs is no lack of room. */
-constexpr double kUtilisationWeight = 0.12;
-/** Utilisation of the home region above which, and below which, the part changes. */
-constexpr double kSpillAbove = 0.85;
-constexpr double kSpillBelow = 0.65;
-/** Utilisation of the other regions up to which they take more. */
-constexpr double kSpillRoom = 0.75;
-
-double HashUnit(const std::string& aOne, const std::string& aOther)
-{
-  // FNV-1a with a final mix: cheap, and the same at every VM.
-  std::uint64_t hash = 1'469'598'103'934'665'603ULL;
-  for (const std::string* text : { &aOne, &aOther }) {
-    for (const char letter : *text) {
-      hash = (hash ^ static_cast<unsigned char>(letter)) * 1'099'511'628'211ULL;
-    }
-    hash = (hash ^ 0xFFU) * 1'099'511'628'211ULL;
-  }
-  hash ^= hash >> 33U;
-  hash *= 0xff51afd7ed558ccdULL;
-  hash ^= hash >> 33U;
-  return static_cast<double>(hash >> 11U) * 0x1.0p-53;
-}
-
 bool Allows(const std::vector<region_name>& aRegions, const region_name& aRegion)
 {
   return aRegions.empty() || std::ranges::find(aRegions, aRegion) != aRegions.end();
@@ -290,20 +262,6 @@
   return best;
 }
 
-bool backend_pool::IsSpilled(const service& aService, const placement_request& aRequest)
-{
-  if (aService.mSpill <= 0) {
-    return false;
-  }
-  // The same keys leave the region at every VM, so that few backend servers elsewhere learn them.
-  if (aRequest.mAffinityKey) {
-    return HashUnit(*aRequest.mAffinityKey, mRegion.mValue) < aService.mSpill;
-  }
-  const auto spilled =
-    static_cast<std::uint64_t>(static_cast<double>(++mChoices) * aService.mSpill);
-  return spilled != static_cast<std::uint64_t>(static_cast<double>(mChoices - 1) * aService.mSpill);
-}
-
 std::optional<placement> backend_pool::Choose(const placement_request& aRequest, instant aNow)
 {
   const auto service = mServices.find(aRequest.mService);
@@ -448,72 +406,4 @@
   }
 }
 
-double backend_pool::GetUtilisation(const service& aService, bool aIsHome, instant aNow) const
-{
-  double load = 0;
-  double slots = 0;
-  for (const std::string& id : aService.mBackends) {
-    const backend& backend = mBackends.at(id);
-    const bool isOut = backend.mRecord.mIsLeaving || aNow < backend.mEjectedUntil ||
-                       aNow < backend.mColdUntil || mEvacuatedZones.contains(backend.mRecord.mZone);
-    if ((backend.mRegion == mRegion) != aIsHome || isOut) {
-      continue;
-    }
-    load += EstimateLoad(backend, aNow);
-    slots += backend.mRecord.mSlots;
-  }
-  return slots > 0 ? load / slots : 1;
-}
-
-double backend_pool::GetBalancedSpill(const service& aService) const
-{
-  double home = 0;
-  double all = 0;
-  for (const std::string& id : aService.mBackends) {
-    const backend& backend = mBackends.at(id);
-    all += backend.mRecord.mSlots;
-    home += backend.mRegion == mRegion ? backend.mRecord.mSlots : 0;
-  }
-  const auto zones = static_cast<double>(
-    std::ranges::count(mRegions, mRegion, &std::pair<const zone_name, region_name>::second));
-  const double share = zones / static_cast<double>(std::max<std::size_t>(1, mRegions.size()));
-  return all > 0 && share > 0 ? std::clamp(1 - home / (all * share), 0.0, 1.0) : 0;
-}
-
-void backend_pool::BalanceUnused()
-{
-  for (auto& [name, service] : mServices) {
-    if (!service.mIsUsed) {
-      service.mSpill = GetBalancedSpill(service);
-    }
-  }
-}
-
-void backend_pool::AdaptSpill(instant aNow)
-{
-  if (aNow < mNextSpillAt) {
-    return;
-  }
-  mNextSpillAt = aNow + kSpillInterval;
-  BalanceUnused();
-  for (auto& [name, service] : mServices) {
-    if (!service.mIsUsed) {
-      continue;
-    }
-    service.mUtilisation +=
-      (GetUtilisation(service, true, aNow) - service.mUtilisation) * kUtilisationWeight;
-    if (service.mUtilisation > kSpillAbove && GetUtilisation(service, false, aNow) < kSpillRoom) {
-      service.mSpill = std::min(1.0, service.mSpill + kSpillStep);
-    } else if (service.mUtilisation < kSpillBelow) {
-      service.mSpill = std::max(0.0, service.mSpill - kSpillReturnStep);
-    }
-  }
-}
-
-double backend_pool::GetSpill(const service_name& aService) const
-{
-  const auto found = mServices.find(aService);
-  return found == mServices.end() ? 0 : found->second.mSpill;
-}
-
 } // namespace citronpulley
--- a/src/citronpulley/steering/steering.h
+++ b/src/citronpulley/steering/steering.h
@@ -10,6 +10,7 @@
 
 #include "citronpulley/steering/backend_pool.h"
 #include "citronpulley/steering/backend_record.h"
+#include "citronpulley/steering/key_hash.h"
 #include "citronpulley/steering/load_report.h"
 #include "citronpulley/steering/outcome_tally.h"
 #include "citronpulley/steering/route_index.h"
--- /dev/null
+++ b/tests/fleet/backend_registry_lists_test.cpp
@@ -0,0 +1,94 @@
+#include "citronpulley/fleet/backend_registry.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <set>
+#include <string>
+
+using namespace citronpulley;
+
+TEST_GROUP(backend_registry_lists)
+{
+  instant mNow{ microseconds(100'000'000) };
+  backend_registry mRegistry{ 7 };
+
+  void Announce(const std::string& aId, std::uint64_t aSequence, std::int64_t aColdForMs = 0)
+  {
+    backend_record record;
+    record.mId = aId;
+    record.mAddress = server_name("10.0.0.1:" + aId);
+    record.mSlots = 4;
+    record.mStartedAtMs = 1;
+    record.mSequence = aSequence;
+    record.mColdForMs = aColdForMs;
+    mRegistry.Take(record, mNow);
+  }
+
+  entry_update GetNews(std::uint64_t aEpoch, std::uint64_t aRevision)
+  {
+    entry_update update;
+    mRegistry.WriteNews(aEpoch, aRevision, mNow, update);
+    return update;
+  }
+
+  static std::set<std::string> GetIds(const entry_update& aUpdate)
+  {
+    std::set<std::string> ids;
+    for (const backend_record& record : aUpdate.mBackends) {
+      ids.insert(record.mId);
+    }
+    return ids;
+  }
+};
+
+/** Guards against changes that an entry VM never hears of, and against those it hears of again. */
+TEST(backend_registry_lists, news_are_the_changes_since_a_revision)
+{
+  Announce("1", 1);
+  Announce("2", 1);
+  const entry_update whole = GetNews(0, 0);
+  CHECK(whole.mIsWholeList);
+  CHECK(GetIds(whole) == std::set<std::string>({ "1", "2" }));
+  CHECK(GetNews(7, whole.mListRevision).mBackends.empty());
+  Announce("1", 2);
+  CHECK(GetNews(7, whole.mListRevision).mBackends.empty());
+  Announce("2", 2, 3'000);
+  Announce("3", 1);
+  const entry_update news = GetNews(7, whole.mListRevision);
+  CHECK(!news.mIsWholeList);
+  CHECK(GetIds(news) == std::set<std::string>({ "2", "3" }));
+  mRegistry.Remove("2", 1);
+  const entry_update removal = GetNews(7, news.mListRevision);
+  CHECK(removal.mBackends.empty());
+  LONGS_EQUAL(1, removal.mRemoved.size());
+  CHECK(GetIds(GetNews(7, whole.mListRevision)) == std::set<std::string>({ "3" }));
+}
+
+/** Guards against permits for servers that are warm, and none for those that became cold again. */
+TEST(backend_registry_lists, cold_servers_are_listed_while_they_are_cold)
+{
+  Announce("1", 1, 2'000);
+  Announce("2", 1);
+  LONGS_EQUAL(1, mRegistry.ListCold(mNow).size());
+  mNow += microseconds(2'000'000);
+  CHECK(mRegistry.ListCold(mNow).empty());
+  Announce("1", 2, 3'000);
+  LONGS_EQUAL(1, mRegistry.ListCold(mNow).size());
+  mRegistry.Remove("1", 1);
+  CHECK(mRegistry.ListCold(mNow).empty());
+}
+
+/** Guards against ages that stand still while the list of busy servers is kept. */
+TEST(backend_registry_lists, busy_servers_are_listed_with_the_age_of_their_load)
+{
+  Announce("1", 1);
+  Announce("2", 1);
+  mRegistry.TakeLoad({ "1", 6, 100'000 }, mNow);
+  mRegistry.TakeLoad({ "2", 1, 0 }, mNow);
+  LONGS_EQUAL(1, mRegistry.ListBusy(mNow).size());
+  LONGS_EQUAL(100'000, mRegistry.ListBusy(mNow).front().mAge);
+  mNow += microseconds(20'000);
+  LONGS_EQUAL(120'000, mRegistry.ListBusy(mNow).front().mAge);
+  mNow += microseconds(1'500'000);
+  CHECK(mRegistry.ListBusy(mNow).empty());
+}
