--- a/src/citronpulley/base/base.h
+++ b/src/citronpulley/base/base.h
@@ -3,11 +3,12 @@
 
 /**
  * @file
- * Module `base`: identifiers, points in time, errors, results, digests, IPv4 blocks, the bounded
- * ring between threads and the registry of plug-ins. It depends on no other module.
+ * Module `base`: identifiers, points in time, errors, results, digests, compression, IPv4 blocks,
+ * the bounded ring between threads and the registry of plug-ins. It depends on no other module.
  */
 
 #include "citronpulley/base/bounded_ring.h"
+#include "citronpulley/base/compression.h"
 #include "citronpulley/base/digest.h"
 #include "citronpulley/base/error.h"
 #include "citronpulley/base/identifiers.h"
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -53,6 +53,7 @@
 constexpr int kMaxPauseDoublings = 3;
 /** Backend servers of a zone that is taken back count as cold until they say otherwise. */
 constexpr microseconds kTakenBackWarmup{ 2'000'000 };
+
 bool Allows(const std::vector<region_name>& aRegions, const region_name& aRegion)
 {
   return aRegions.empty() || std::ranges::find(aRegions, aRegion) != aRegions.end();
--- a/src/citronpulley/steering/steering.h
+++ b/src/citronpulley/steering/steering.h
@@ -4,8 +4,8 @@
 /**
  * @file
  * Overview of the module `steering`: what an entry VM needs to send a request straight to a backend
- * server. `traffic_config` and `route_index` say what may run, `backend_pool` where, and
- * `workspace_meter` how much. All of it is pure.
+ * server. `traffic_config` and `route_index` say what may run, `backend_pool` where,
+ * `workspace_meter` how much, and `run_time_estimate` how long it usually takes. All of it is pure.
  */
 
 #include "citronpulley/steering/backend_pool.h"
