--- a/src/citronpulley/fleet/backend_health_table.cpp
+++ b/src/citronpulley/fleet/backend_health_table.cpp
@@ -17,7 +17,8 @@
 constexpr microseconds kForgetAfter{ 30'000'000 };
 /** Age up to which a backend server counts for the median of its service. */
 constexpr microseconds kMedianAge{ 4'000'000 };
-/** Failure rate and slowness from which on a backend server is listed; less is noise. */
+/** Failure rate and slowness from which on a backend server is listed; a single failure reaches
+ * 0.15. */
 constexpr double kListedFailureRate = 0.1;
 constexpr double kListedSlowness = 1.8;
 
