Confirm no heartbeat round by a reply to an earlier term

Cause: a member that refuses a heartbeat of an earlier term repeats the round of that heartbeat under its own, newer term. If the sender was restarted and leads that term, it counts rounds from 1 again and takes the reply for confirmations of rounds that it has not sent yet: its reads and leases then count as confirmed without a majority. Ruled out: late replies of the same term; the round does not fall within a term. Change: the refusal carries round 0.

--- a/src/citronpulley/consensus/group_replication.cpp
+++ b/src/citronpulley/consensus/group_replication.cpp
@@ -179,8 +179,10 @@
     return false;
   }
   if (aTerm < mVote.mTerm) {
+    // The round belongs to an earlier term. If the sender leads the present term after a restart, it
+    // counts its rounds anew and must not take this reply for a confirmation of one.
     aActions.emplace_back(
-      send_to_member{ mSender, append_reply{ 0, mVote.mTerm, mSelf, false, 0, aRound } });
+      send_to_member{ mSender, append_reply{ 0, mVote.mTerm, mSelf, false, 0, 0 } });
     return false;
   }
   if (aTerm > mVote.mTerm || mRole != role::Follower) {
