--- a/src/citronpulley/consensus/consensus_group.cpp
+++ b/src/citronpulley/consensus/consensus_group.cpp
@@ -84,17 +84,23 @@
     return;
   }
   mSender = aSender;
-  std::visit(overloaded{
-               [&](const vote_request& aContent) { HandleMessage(aContent, aNow, aActions); },
-               [&](const vote_reply& aContent) { HandleMessage(aContent, aNow, aActions); },
-               [&](const append_request& aContent) { HandleMessage(aContent, aNow, aActions); },
-               [&](const append_reply& aContent) { HandleMessage(aContent, aNow, aActions); },
-               [&](const snapshot_chunk& aContent) { HandleMessage(aContent, aNow, aActions); },
-               [&](const snapshot_ack& aContent) { HandleMessage(aContent, aNow, aActions); },
-               [&](const read_index_request& aContent) { HandleMessage(aContent, aNow, aActions); },
-               [&](const read_index_reply& aContent) { HandleMessage(aContent, aNow, aActions); },
-               [&](const join_request& aContent) { HandleMessage(aContent, aNow, aActions); },
-               [](const auto&) {} },
+  const auto handle = [&](const auto& aContent) {
+    if (std::optional<std::string> fault = FindFault(aContent)) {
+      RefuseMessage(std::move(*fault), aActions);
+      return;
+    }
+    HandleMessage(aContent, aNow, aActions);
+  };
+  std::visit(overloaded{ [&](const vote_request& aContent) { handle(aContent); },
+                         [&](const vote_reply& aContent) { handle(aContent); },
+                         [&](const append_request& aContent) { handle(aContent); },
+                         [&](const append_reply& aContent) { handle(aContent); },
+                         [&](const snapshot_chunk& aContent) { handle(aContent); },
+                         [&](const snapshot_ack& aContent) { handle(aContent); },
+                         [&](const read_index_request& aContent) { handle(aContent); },
+                         [&](const read_index_reply& aContent) { handle(aContent); },
+                         [&](const join_request& aContent) { handle(aContent); },
+                         [](const auto&) {} },
              aMessage);
   FinishEvent(aNow, aActions);
 }
--- a/src/citronpulley/consensus/consensus_group.h
+++ b/src/citronpulley/consensus/consensus_group.h
@@ -55,12 +55,24 @@
   std::uint64_t mRead = 0;
 };
 
+/** A message of a peer was ignored because it contradicts itself or what this member knows. */
+struct message_refused
+{
+  vm_name mSender;
+  std::string mReason;
+};
+
 /**
  * Action that the caller of a consensus group carries out. Each `storage_batch` must be stored in
  * the order of the batches and then be reported by consensus_group::HandleStored().
  */
-using group_action =
-  std::variant<send_to_member, storage_batch, apply_entry, install_state, read_ready, read_failed>;
+using group_action = std::variant<send_to_member,
+                                  storage_batch,
+                                  apply_entry,
+                                  install_state,
+                                  read_ready,
+                                  read_failed,
+                                  message_refused>;
 using group_actions = std::vector<group_action>;
 
 /** Settings of a member, fixed for its lifetime except for `mControlVms`. */
@@ -122,7 +134,8 @@
   void Tick(instant aNow, group_actions& aActions);
 
   /**
-   * Handles a message of a peer. Messages of other protocols are ignored.
+   * Handles a message of a peer. Messages of other protocols are ignored. So are messages that no
+   * correct member sends; the action `message_refused` reports them.
    *
    * @param aSender authenticated VM of the sender
    */
@@ -180,6 +193,8 @@
   log_index GetAppliedIndex() const noexcept { return mAppliedIndex; }
   log_index GetLastIndex() const noexcept { return mBaseIndex + mEntries.size(); }
   std::size_t CountEntries() const noexcept { return mEntries.size(); }
+  /** @return number of messages that were reported as `message_refused` */
+  std::uint64_t CountRefusedMessages() const noexcept { return mRefusedMessages; }
 
   /** @return the latest membership in the log, committed or not */
   const group_membership& GetMembership() const noexcept;
@@ -258,6 +273,23 @@
   void CommitTo(log_index aIndex, group_actions& aActions);
   void AddMembership(const log_entry& aEntry);
 
+  // Validation: each function returns the reason for which no correct member sends the message.
+  static std::optional<std::string> FindFault(const vote_request& aRequest);
+  static std::optional<std::string> FindFault(const vote_reply& aReply);
+  static std::optional<std::string> FindFault(const append_request& aRequest);
+  static std::optional<std::string> FindFault(const snapshot_chunk& aChunk);
+  static std::optional<std::string> FindFault(const join_request& aRequest);
+  static std::optional<std::string> FindFault(const read_index_request&) { return std::nullopt; }
+  static std::optional<std::string> FindFault(const read_index_reply&) { return std::nullopt; }
+  std::optional<std::string> FindFault(const append_reply& aReply) const;
+  std::optional<std::string> FindFault(const snapshot_ack& aAck) const;
+  std::optional<std::string> FindRoundFault(std::uint64_t aRound) const;
+  /** @return true if the sender claims to lead a term that has another leader */
+  bool IsSecondLeader(term_number aTerm, member_id aLeader) const noexcept;
+  /** @return index of the first entry that contradicts a committed or verified one */
+  std::optional<log_index> FindCommittedConflict(const append_request& aRequest) const;
+  void RefuseMessage(std::string aReason, group_actions& aActions);
+
   // Elections.
   void BecomeFollower(term_number aTerm, group_actions& aActions);
   void StartPreVote(instant aNow, group_actions& aActions);
@@ -283,6 +315,7 @@
   void ConfirmMatch(group_actions& aActions);
   std::uint64_t FindMajorityValue(std::uint64_t aOwn, std::uint64_t member_progress::*aField) const;
   bool AcceptLeader(term_number aTerm,
+                    member_id aLeader,
                     std::uint64_t aGroup,
                     std::uint64_t aRound,
                     instant aNow,
@@ -366,6 +399,7 @@
 
   std::vector<pending_read> mPendingReads;
   std::uint64_t mReadNumber = 0;
+  std::uint64_t mRefusedMessages = 0;
 };
 
 } // namespace citronpulley
--- a/src/citronpulley/consensus/group_replication.cpp
+++ b/src/citronpulley/consensus/group_replication.cpp
@@ -169,6 +169,7 @@
 }
 
 bool consensus_group::AcceptLeader(term_number aTerm,
+                                   member_id aLeader,
                                    std::uint64_t aGroup,
                                    std::uint64_t aRound,
                                    instant aNow,
@@ -179,12 +180,16 @@
     return false;
   }
   if (aTerm < mVote.mTerm) {
-    // The round belongs to an earlier term. If the sender leads the present term after a restart, it
-    // counts its rounds anew and must not take this reply for a confirmation of one.
+    // The round belongs to an earlier term. If the sender leads the present term after a restart,
+    // it counts its rounds anew and must not take this reply for a confirmation of one.
     aActions.emplace_back(
       send_to_member{ mSender, append_reply{ 0, mVote.mTerm, mSelf, false, 0, 0 } });
     return false;
   }
+  if (IsSecondLeader(aTerm, aLeader)) {
+    RefuseMessage("term " + std::to_string(aTerm) + " has another leader", aActions);
+    return false;
+  }
   if (aTerm > mVote.mTerm || mRole != role::Follower) {
     BecomeFollower(aTerm, aActions);
   }
@@ -231,7 +236,13 @@
                                     group_actions& aActions)
 {
   if (aRequest.mReceiver != mSelf ||
-      !AcceptLeader(aRequest.mTerm, aRequest.mGroup, aRequest.mRound, aNow, aActions)) {
+      !AcceptLeader(
+        aRequest.mTerm, aRequest.mLeader, aRequest.mGroup, aRequest.mRound, aNow, aActions)) {
+    return;
+  }
+  if (const std::optional<log_index> conflict = FindCommittedConflict(aRequest)) {
+    RefuseMessage(
+      "the entry at index " + std::to_string(*conflict) + " contradicts a committed one", aActions);
     return;
   }
   const log_index previous = aRequest.mPreviousIndex;
@@ -299,7 +310,7 @@
                                     group_actions& aActions)
 {
   if (aChunk.mReceiver != mSelf ||
-      !AcceptLeader(aChunk.mTerm, aChunk.mGroup, aChunk.mRound, aNow, aActions)) {
+      !AcceptLeader(aChunk.mTerm, aChunk.mLeader, aChunk.mGroup, aChunk.mRound, aNow, aActions)) {
     return;
   }
   snapshot_ack ack{ 0, mVote.mTerm, mSelf, aChunk.mLastIndex, 0, false, mLeaderRound };
--- a/src/citronpulley/fleet/fleet_control.cpp
+++ b/src/citronpulley/fleet/fleet_control.cpp
@@ -247,6 +247,13 @@
   FinishRead(aFailed.mRead, false);
 }
 
+void fleet_control::Execute(message_refused& aRefused, instant, fleet_actions& aActions)
+{
+  aActions.emplace_back(fleet_event{
+    "group_message_refused",
+    { { "sender", aRefused.mSender.mValue }, { "reason", std::move(aRefused.mReason) } } });
+}
+
 void fleet_control::FinishRead(std::uint64_t aRead, bool aIsConfirmed)
 {
   auto read = mReads.extract(aRead);
--- a/src/citronpulley/fleet/fleet_control.h
+++ b/src/citronpulley/fleet/fleet_control.h
@@ -188,6 +188,7 @@
   void Execute(install_state& aInstall, instant aNow, fleet_actions& aActions);
   void Execute(read_ready& aReady, instant aNow, fleet_actions& aActions);
   void Execute(read_failed& aFailed, instant aNow, fleet_actions& aActions);
+  void Execute(message_refused& aRefused, instant aNow, fleet_actions& aActions);
   void FinishRead(std::uint64_t aRead, bool aIsConfirmed);
   void CompactIfNeeded(instant aNow, fleet_actions& aActions);
   void HandleApplied(const fleet_command& aCommand,
--- a/src/citronpulley/node/control_replica.cpp
+++ b/src/citronpulley/node/control_replica.cpp
@@ -176,6 +176,14 @@
   FinishReads(aFailed.mRead, false, aActions);
 }
 
+void control_replica::Execute(message_refused& aRefused, node_actions& aActions)
+{
+  aActions.emplace_back(
+    write_log{ log_level::Warning,
+               "ignored a group message of " + aRefused.mSender.mValue + ": " + aRefused.mReason,
+               "" });
+}
+
 void control_replica::FinishReads(std::uint64_t aRead, bool aIsConfirmed, node_actions& aActions)
 {
   if (aRead != mLastRead) {
--- a/src/citronpulley/node/control_replica.h
+++ b/src/citronpulley/node/control_replica.h
@@ -87,6 +87,7 @@
   void Execute(install_state& aInstall, node_actions& aActions);
   void Execute(read_ready& aReady, node_actions& aActions);
   void Execute(read_failed& aFailed, node_actions& aActions);
+  void Execute(message_refused& aRefused, node_actions& aActions);
   void FinishReads(std::uint64_t aRead, bool aIsConfirmed, node_actions& aActions);
   void StartReads(instant aNow, node_actions& aActions);
   /** Reports an unknown outcome to the callbacks of all pending proposals. */
--- a/tests/consensus/group_harness.cpp
+++ b/tests/consensus/group_harness.cpp
@@ -297,6 +297,12 @@
   mVms[Index(aVm)].mReads.erase(aFailed.mRead);
 }
 
+void group_harness::Execute(int aVm, message_refused& aRefused)
+{
+  ReportViolation("vm-" + std::to_string(aVm) + " refused a message of " + aRefused.mSender.mValue +
+                  ": " + aRefused.mReason);
+}
+
 void group_harness::CheckLeader(int aVm)
 {
   const consensus_group& group = GetGroup(aVm);
--- a/tests/consensus/group_harness.h
+++ b/tests/consensus/group_harness.h
@@ -101,6 +101,7 @@
   void Execute(int aVm, install_state& aInstall);
   void Execute(int aVm, read_ready& aReady);
   void Execute(int aVm, read_failed& aFailed);
+  void Execute(int aVm, message_refused& aRefused);
   void SyncWaitingBatches(int aVm);
   void CheckLeader(int aVm);
   void ReportViolation(const std::string& aViolation);
