--- a/src/citronpulley/fleet/fleet_control.cpp
+++ b/src/citronpulley/fleet/fleet_control.cpp
@@ -323,6 +323,12 @@
     mConfig = std::move(config.Get());
     mCompressedText = Compress(mState.GetText());
     mLedger.SetRules(mConfig.mWorkspaces, aNow);
+    if (!mConfig.mWarnings.empty()) {
+      aActions.emplace_back(fleet_event{ "config_warnings",
+                                         { { "version", std::to_string(mConfig.mVersion) },
+                                           { "warnings", std::to_string(mConfig.mWarnings.size()) },
+                                           { "first", mConfig.mWarnings.front() } } });
+    }
     return;
   }
   aActions.emplace_back(
--- a/src/citronpulley/fleet/fleet_control.h
+++ b/src/citronpulley/fleet/fleet_control.h
@@ -165,6 +165,9 @@
   const fleet_state& GetState() const noexcept { return mState; }
   const consensus_group& GetGroup() const noexcept { return mGroup; }
 
+  /** @return number of warnings about the configuration in force */
+  std::size_t CountConfigWarnings() const noexcept { return mConfig.mWarnings.size(); }
+
   /** @return entry VMs that accept requests; on a follower as the leader reported them last */
   std::vector<entry_location> ListEntryVms(instant aNow) const;
 
--- a/src/citronpulley/steering/traffic_config.h
+++ b/src/citronpulley/steering/traffic_config.h
@@ -107,6 +107,8 @@
   std::vector<workspace_rule> mWorkspaces;
   std::vector<route_rule> mRoutes;
   std::vector<service_rule> mServices;
+  /** Values of the text that this version does not know, and what is done instead. */
+  std::vector<std::string> mWarnings;
 
   friend bool operator==(const traffic_config&, const traffic_config&) = default;
 };
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -29,6 +29,14 @@
   R"({"Service":"s1","Address":"10.0.0.9:8080","Zone":"a","Version":"v1","Slots":9,"State":"ready",)"
   R"("WarmupLeft":"1500ms","Seq":4,"born":1700000000000})";
 
+/** @return the configuration of kConfigText with another kind of its route */
+std::string MakeConfigOfKind(const std::string& aKind)
+{
+  std::string text = kConfigText;
+  const std::string kind = R"("Kind":"safe")";
+  return text.replace(text.find(kind), kind.size(), R"("Kind":")" + aKind + "\"");
+}
+
 } // namespace
 
 TEST_GROUP(platform_dialect)
@@ -69,6 +77,27 @@
   CHECK_FALSE(FindFault(config).has_value());
 }
 
+/** Guards against refusing or failing to retry routes with large responses, which are idempotent.
+ */
+TEST(platform_dialect, reads_a_download_as_idempotent)
+{
+  const result<traffic_config> read = mDialect.ParseConfig(MakeConfigOfKind("download"));
+  CHECK(static_cast<bool>(read));
+  CHECK(read.Get().mRoutes.front().mIsIdempotent);
+  CHECK(read.Get().mWarnings.empty());
+}
+
+/** Guards against one unknown kind of route that leaves all routes without a configuration. */
+TEST(platform_dialect, reads_an_unknown_kind_as_not_idempotent_and_warns)
+{
+  const result<traffic_config> read = mDialect.ParseConfig(MakeConfigOfKind("bidirectional"));
+  CHECK(static_cast<bool>(read));
+  CHECK_FALSE(read.Get().mRoutes.front().mIsIdempotent);
+  UNSIGNED_LONGS_EQUAL(1, read.Get().mWarnings.size());
+  STRCMP_CONTAINS("r1", read.Get().mWarnings.front().c_str());
+  STRCMP_CONTAINS("bidirectional", read.Get().mWarnings.front().c_str());
+}
+
 /**
  * Guards against accepting a configuration that is truncated, not an object, or lacks a valid
  * version.
