Number and check the frames between processes, and bound decoded lengths

Cause: frames were compressed with earlier ones as dictionary and had neither number nor checksum, so a connection that lost whole frames and lived on handed on messages inflated with another dictionary; and a length in a damaged message could ask for any allocation (a vector of 6.8 GB ended control VMs). Ruled out: adler or gzip framing of the whole stream, which finds damage only at its end; a bound per message type, which is forgotten for the next type. Change: base/frame_encoder and frame_decoder write and read a preface with the protocol version and, in each frame, a checksum over its plain bytes and its number; a difference closes the connection with a log line frame_refused (peer and reason) and a counter before anything is handed on. Messages are decoded by bounded_input_archive: strings are checked against the bytes that are left, vectors grow with their elements, numbers that are not finite are refused. It reads the format on disk unchanged. Frames grow by 4 bytes.

--- a/src/citronpulley/gateway/control_gateway.cpp
+++ b/src/citronpulley/gateway/control_gateway.cpp
@@ -81,12 +81,16 @@
   , mControlListener(mIo, mSessionContext)
   , mDirectoryListener(mIo, mSessionContext)
   , mMetricsListener(mIo, mMetrics.MakeSessionContext([this] { RefreshGauges(); }))
-  , mBus(mIo,
-         [this](const fleet_message& aMessage, const fleet_bus::send_reply& aReply) {
-           fleet_actions actions;
-           mControl->Receive(aMessage, GetBootTime(), aReply, actions);
-           Execute(actions);
-         })
+  , mBus(
+      mIo,
+      [this](const fleet_message& aMessage, const fleet_bus::send_reply& aReply) {
+        fleet_actions actions;
+        mControl->Receive(aMessage, GetBootTime(), aReply, actions);
+        Execute(actions);
+      },
+      [this](const std::string& aPeer, const std::string& aReason) {
+        mLog.Write("frame_refused", { { "peer", aPeer }, { "reason", aReason } }, GetBootTime());
+      })
   , mSignals(mIo, SIGTERM, SIGINT, SIGHUP)
   , mTimer(mIo)
 {
@@ -240,6 +244,9 @@
   mMetrics.SetGauge("commit_index", static_cast<double>(group.GetCommitIndex()));
   mMetrics.SetGauge("voters", static_cast<double>(group.GetMembership().CountVoters()));
   mMetrics.SetGauge("config_version", static_cast<double>(mControl->GetState().GetVersion()));
+  mMetrics.SetGauge("config_warnings", static_cast<double>(mControl->CountConfigWarnings()));
+  mMetrics.SetGauge("group_messages_refused", static_cast<double>(group.CountRefusedMessages()));
+  mMetrics.SetGauge("frames_refused", static_cast<double>(mBus.CountRefused()));
   mMetrics.SetGauge("entry_vms", static_cast<double>(mControl->ListEntryVms(GetBootTime()).size()));
   mMetrics.SetGauge("log_lines_left_out", static_cast<double>(mLog.CountDroppedLines()));
 }
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -75,12 +75,16 @@
                      [] { return caller_limits{}; },
                      [this](const auto& aRequest) { HandleReadyCall(aRequest); } }))
   , mMetricsListener(mIo, mMetrics.MakeSessionContext([this] { RefreshGauges(); }))
-  , mBus(mIo,
-         [this](const fleet_message& aMessage, const auto&) {
-           if (const auto* update = std::get_if<entry_update>(&aMessage)) {
-             mSubscription.Receive(*update, GetBootTime());
-           }
-         })
+  , mBus(
+      mIo,
+      [this](const fleet_message& aMessage, const auto&) {
+        if (const auto* update = std::get_if<entry_update>(&aMessage)) {
+          mSubscription.Receive(*update, GetBootTime());
+        }
+      },
+      [this](const std::string& aPeer, const std::string& aReason) {
+        mLog.Write("frame_refused", { { "peer", aPeer }, { "reason", aReason } }, GetBootTime());
+      })
   , mSubscription(mBus, mSteering, mLog, mSettings.mControlVms)
   , mSignals(mIo, SIGTERM, SIGINT, SIGHUP)
   , mTimer(mIo)
--- a/src/citronpulley/gateway/entry_gateway_reporting.cpp
+++ b/src/citronpulley/gateway/entry_gateway_reporting.cpp
@@ -67,8 +67,11 @@
   mMetrics.SetGauge("backend_servers", static_cast<double>(mSteering.GetPool().GetCount()));
   mMetrics.SetGauge("config_version",
                     config ? static_cast<double>(config->GetConfig().mVersion) : 0);
+  mMetrics.SetGauge("config_warnings",
+                    config ? static_cast<double>(config->GetConfig().mWarnings.size()) : 0);
   mMetrics.SetGauge("fresh_seconds",
                     static_cast<double>((mSteering.GetFreshUntil() - now).count()) / 1e6);
+  mMetrics.SetGauge("frames_refused", static_cast<double>(mBus.CountRefused()));
   mMetrics.SetGauge("log_lines_left_out", static_cast<double>(mLog.CountDroppedLines()));
 }
 
--- a/src/citronpulley/gateway/fleet_bus.cpp
+++ b/src/citronpulley/gateway/fleet_bus.cpp
@@ -16,9 +16,12 @@
 
 } // namespace
 
-fleet_bus::fleet_bus(asio::io_context& aIo, on_message aOnMessage)
+fleet_bus::fleet_bus(asio::io_context& aIo,
+                     on_message aOnMessage,
+                     frame_connection::on_refused aOnRefused)
   : mIo(aIo)
   , mOnMessage(std::move(aOnMessage))
+  , mOnRefused(std::move(aOnRefused))
   , mAcceptor(aIo)
   , mAcceptRetryTimer(aIo)
 {
@@ -45,18 +48,26 @@
         mAcceptRetryTimer.async_wait([this](const boost::system::error_code&) { Accept(); });
         return;
       }
-      auto connection = std::make_shared<frame_connection>(
-        std::move(aSocket),
-        [this](const auto& aConnection, const std::string& aFrame) {
-          HandleFrame(aConnection, aFrame);
-        },
-        [] {});
+      const std::shared_ptr<frame_connection> connection = MakeConnection(std::move(aSocket));
       mAccepted.push_back(connection);
       connection->Start();
       Accept();
     });
 }
 
+std::shared_ptr<frame_connection> fleet_bus::MakeConnection(asio::ip::tcp::socket aSocket)
+{
+  return std::make_shared<frame_connection>(
+    std::move(aSocket),
+    [this](const auto& aConnection, const std::string& aFrame) {
+      HandleFrame(aConnection, aFrame);
+    },
+    [this](const std::string& aPeer, const std::string& aReason) {
+      ++mRefused;
+      mOnRefused(aPeer, aReason);
+    });
+}
+
 void fleet_bus::Send(const vm_name& aVm, const fleet_message& aMessage)
 {
   link& link = mLinks[aVm];
@@ -106,12 +117,7 @@
   if (!aIsConnected) {
     return;
   }
-  link.mConnection = std::make_shared<frame_connection>(
-    std::move(*aSocket),
-    [this](const auto& aConnection, const std::string& aFrame) {
-      HandleFrame(aConnection, aFrame);
-    },
-    [] {});
+  link.mConnection = MakeConnection(std::move(*aSocket));
   link.mConnection->Start();
   for (const std::string& frame : frames) {
     link.mConnection->Send(frame);
@@ -123,7 +129,7 @@
 {
   const result<fleet_message> message = DecodeFleetMessage(aFrame);
   if (!message) {
-    aConnection->Close();
+    aConnection->Refuse(message.GetError().mMessage);
     return;
   }
   mOnMessage(message.Get(), [aConnection](const fleet_message& aReply) {
@@ -142,6 +148,13 @@
   }
 }
 
+instant fleet_bus::GetLastReceivedAt(const vm_name& aVm) const
+{
+  const auto found = mLinks.find(aVm);
+  const bool isConnected = found != mLinks.end() && found->second.mConnection;
+  return isConnected ? found->second.mConnection->GetLastReceivedAt() : instant{};
+}
+
 void fleet_bus::CheckTimeouts(instant aNow)
 {
   for (auto& [vm, link] : mLinks) {
--- a/src/citronpulley/gateway/fleet_bus.h
+++ b/src/citronpulley/gateway/fleet_bus.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
@@ -32,7 +33,13 @@
   using send_reply = std::function<void(fleet_message)>;
   using on_message = std::function<void(const fleet_message&, const send_reply&)>;
 
-  fleet_bus(boost::asio::io_context& aIo, on_message aOnMessage);
+  /**
+   * @param aOnMessage handles a received message
+   * @param aOnRefused logs that bytes of a peer were refused; their connection is closed
+   */
+  fleet_bus(boost::asio::io_context& aIo,
+            on_message aOnMessage,
+            frame_connection::on_refused aOnRefused);
 
   /** Starts to accept connections at `IP:port`. */
   status Open(const std::string& aAddress);
@@ -46,6 +53,15 @@
   /** Closes the connection to a VM that does not reply; the next Send() opens a new one. */
   void Disconnect(const vm_name& aVm);
 
+  /**
+   * @return time at which the connection to a VM last received bytes, also of an incomplete
+   * message; the epoch when there is no connection
+   */
+  instant GetLastReceivedAt(const vm_name& aVm) const;
+
+  /** @return number of connections closed because their bytes were refused */
+  std::uint64_t CountRefused() const noexcept { return mRefused; }
+
   /** Ends connection attempts after kConnectTimeout and removes closed connections. */
   void CheckTimeouts(instant aNow);
 
@@ -66,9 +82,12 @@
                        const std::shared_ptr<boost::asio::ip::tcp::socket>& aSocket,
                        bool aIsConnected);
   void HandleFrame(const std::shared_ptr<frame_connection>& aConnection, const std::string& aFrame);
+  std::shared_ptr<frame_connection> MakeConnection(boost::asio::ip::tcp::socket aSocket);
 
   boost::asio::io_context& mIo;
   on_message mOnMessage;
+  frame_connection::on_refused mOnRefused;
+  std::uint64_t mRefused = 0;
   boost::asio::ip::tcp::acceptor mAcceptor;
   boost::asio::steady_timer mAcceptRetryTimer;
   std::map<vm_name, link> mLinks;
--- a/src/citronpulley/gateway/frame_connection.cpp
+++ b/src/citronpulley/gateway/frame_connection.cpp
@@ -1,6 +1,7 @@
 #include "citronpulley/gateway/frame_connection.h"
 
-#include <boost/asio/read.hpp>
+#include "citronpulley/gateway/clock.h"
+
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
 #include <utility>
@@ -11,10 +12,10 @@
 
 frame_connection::frame_connection(asio::ip::tcp::socket aSocket,
                                    on_frame aOnFrame,
-                                   on_close aOnClose)
+                                   on_refused aOnRefused)
   : mSocket(std::move(aSocket))
   , mOnFrame(std::move(aOnFrame))
-  , mOnClose(std::move(aOnClose))
+  , mOnRefused(std::move(aOnRefused))
 {
 }
 
@@ -25,56 +26,46 @@
   const unsigned timeout = kUnackedTimeoutMs;
   ::setsockopt(mSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
   mIsStarted = true;
-  ReadLength();
+  Read();
   Write();
 }
 
-void frame_connection::ReadLength()
+void frame_connection::Read()
 {
-  asio::async_read(
-    mSocket,
-    asio::buffer(mLength),
-    [self = shared_from_this()](const boost::system::error_code& aError, std::size_t) {
+  mSocket.async_read_some(
+    asio::buffer(mReadBuffer),
+    [self = shared_from_this()](const boost::system::error_code& aError, std::size_t aCount) {
       if (self->mIsClosed) {
         return;
       }
-      std::uint32_t length = 0;
-      for (const unsigned char byte : self->mLength) {
-        length = length << 8U | byte;
-      }
-      if (aError || length > kMaxFrameBytes) {
+      if (aError) {
         self->Close();
         return;
       }
-      self->ReadBody(length);
+      self->mLastReceivedAt = GetBootTime();
+      self->mDecoder.Append({ self->mReadBuffer.data(), aCount });
+      if (self->HandOnFrames()) {
+        self->Read();
+      }
     });
 }
 
-void frame_connection::ReadBody(std::uint32_t aLength)
+bool frame_connection::HandOnFrames()
 {
-  mBody.resize(aLength);
-  asio::async_read(
-    mSocket,
-    asio::buffer(mBody),
-    [self = shared_from_this()](const boost::system::error_code& aError, std::size_t) {
-      if (self->mIsClosed) {
-        return;
-      }
-      if (aError) {
-        self->Close();
-        return;
-      }
-      result<std::string> frame =
-        self->mDecompressor.Decompress(std::exchange(self->mBody, {}), kMaxFrameBytes);
-      if (!frame) {
-        self->Close();
-        return;
-      }
-      self->mOnFrame(self, std::move(frame.Get()));
-      if (!self->mIsClosed) {
-        self->ReadLength();
-      }
-    });
+  while (true) {
+    result<std::optional<std::string>> frame = mDecoder.Next();
+    if (!frame) {
+      Refuse(frame.GetError().mMessage);
+      return false;
+    }
+    if (!frame.Get()) {
+      return true;
+    }
+    mOnFrame(shared_from_this(), std::move(*frame.Get()));
+    if (mIsClosed) {
+      return false;
+    }
+  }
 }
 
 void frame_connection::Send(const std::string& aFrame)
@@ -82,16 +73,12 @@
   if (mIsClosed) {
     return;
   }
-  const std::string compressed = mCompressor.Compress(aFrame);
-  if (mPending.size() + compressed.size() > kMaxPendingBytes) {
+  const std::string encoded = mEncoder.Encode(aFrame);
+  if (mPending.size() + encoded.size() > kMaxPendingBytes) {
     Close();
     return;
   }
-  const auto length = static_cast<std::uint32_t>(compressed.size());
-  for (int shift = 24; shift >= 0; shift -= 8) {
-    mPending.push_back(static_cast<char>(length >> static_cast<unsigned>(shift) & 0xFFU));
-  }
-  mPending += compressed;
+  mPending += encoded;
   Write();
 }
 
@@ -116,6 +103,17 @@
     });
 }
 
+void frame_connection::Refuse(const std::string& aReason)
+{
+  if (mIsClosed) {
+    return;
+  }
+  boost::system::error_code failure;
+  const asio::ip::tcp::endpoint peer = mSocket.remote_endpoint(failure);
+  mOnRefused(failure ? "unknown" : peer.address().to_string(), aReason);
+  Close();
+}
+
 void frame_connection::Close()
 {
   if (mIsClosed) {
@@ -124,9 +122,6 @@
   mIsClosed = true;
   boost::system::error_code ignored;
   mSocket.close(ignored);
-  if (const auto onClose = std::exchange(mOnClose, {})) {
-    onClose();
-  }
 }
 
 } // namespace citronpulley
--- a/src/citronpulley/wire/codec.h
+++ b/src/citronpulley/wire/codec.h
@@ -2,6 +2,7 @@
 #define CITRONPULLEY_WIRE_CODEC_H
 
 #include "citronpulley/base/result.h"
+#include "citronpulley/wire/bounded_input_archive.h"
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
@@ -13,9 +14,7 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
-#include <new>
 #include <sstream>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 
@@ -45,9 +44,8 @@
 }
 
 /**
- * Decodes a value from bytes that hold exactly one value. Use it only on bytes from an
- * authenticated source: a forged length can make the codec request a very large allocation. If that
- * allocation fails, an error is returned.
+ * Decodes a value from bytes that hold exactly one value. The bytes may be damaged or forged: the
+ * value takes a small multiple of their size at most.
  *
  * @param aBytes output of EncodeValue()
  * @return the value, or `bad_message` when the bytes are malformed, truncated or too long
@@ -56,16 +54,15 @@
 result<Value> DecodeValue(std::string_view aBytes)
 {
   try {
-    std::istringstream stream(std::string(aBytes), std::ios::binary);
-    cereal::PortableBinaryInputArchive archive(stream);
+    bounded_input_archive archive(aBytes);
     Value value;
     archive(value);
-    if (stream.peek() != std::istringstream::traits_type::eof()) {
+    if (archive.CountRemaining() > 0) {
       return MakeError(error_code::BadMessage,
                        step::Decode,
                        "",
                        "the encoded value ends at byte " +
-                         std::to_string(static_cast<std::streamoff>(stream.tellg())) + " of " +
+                         std::to_string(aBytes.size() - archive.CountRemaining()) + " of " +
                          std::to_string(aBytes.size()) + "; expected no more bytes");
     }
     return value;
@@ -75,18 +72,6 @@
                      "",
                      failure.what() + std::string(" (message of ") + std::to_string(aBytes.size()) +
                        " bytes)");
-  } catch (const std::length_error&) {
-    return MakeError(error_code::BadMessage,
-                     step::Decode,
-                     "",
-                     "an encoded length is too large to allocate (message of " +
-                       std::to_string(aBytes.size()) + " bytes)");
-  } catch (const std::bad_alloc&) {
-    return MakeError(error_code::BadMessage,
-                     step::Decode,
-                     "",
-                     "an encoded length is too large to allocate (message of " +
-                       std::to_string(aBytes.size()) + " bytes)");
   }
 }
 
