Bound the memory of responses and requests by the VM's memory

Cause: a response could take 64 MB and its chunks or interim responses had no end, on entry VMs of 112 to 182 MB; a request body up to the operator's limit of 64 MB likewise. One backend server that sends bytes without end, or a few large uploads, ended the process. A failure without an id was taken for the answer of the next request on a reused connection. Ruled out: a fixed limit per message, which many messages exceed together. Change: memory_budget is a quarter of memory_mb (a new setting, filled in from the platform's limits); every response and request reserves from it as it arrives, one message at most a quarter. A response beyond it ends its attempt (channel_end::TooLarge, log line response_too_large), a request beyond it gets 413, and 503 with Retry-After when others hold the memory; above three quarters new requests are refused at once. More than 16 interim or duplicate responses to one request count as malformed. On a reused connection every answer must carry the id. Gauge message_memory_bytes. Result: tests/gateway: with the former limits, an endless body takes 64 MB, endless chunks and interim responses never end the attempt, and the failure without an id is delivered to the next caller.

--- a/src/citronpulley/gateway/backend_channel.cpp
+++ b/src/citronpulley/gateway/backend_channel.cpp
@@ -21,7 +21,11 @@
 
 constexpr std::size_t kReadChunkBytes = 8'192;
 constexpr std::uint32_t kMaxHeaderBytes = 65'536;
-constexpr std::uint64_t kMaxBodyBytes = 64UL * 1024 * 1024;
+/** Size of a message beside its body that the memory budget counts. */
+constexpr std::size_t kMessageOverheadBytes = 1'024;
+/** Interim and duplicate responses before the one to a request; a server that sends more is faulty.
+ */
+constexpr int kMaxSkippedResponses = 16;
 
 http_response ToResponse(http::response<http::string_body>&& aMessage)
 {
@@ -60,8 +64,10 @@
   std::optional<http::response_parser<http::string_body>> mMessage;
 };
 
-backend_channel::backend_channel(asio::ip::tcp::socket aSocket)
+backend_channel::backend_channel(asio::ip::tcp::socket aSocket,
+                                 std::shared_ptr<memory_budget> aBudget)
   : mSocket(std::move(aSocket))
+  , mReservation(std::move(aBudget))
   , mParser(std::make_unique<parser_state>())
 {
 }
@@ -178,7 +184,8 @@
       state.mMessage.emplace();
       state.mMessage->eager(true);
       state.mMessage->header_limit(kMaxHeaderBytes);
-      state.mMessage->body_limit(kMaxBodyBytes);
+      // ReserveMemory() limits the body.
+      state.mMessage->body_limit(boost::none);
       state.mMessage->skip(mRequest.mIsHead);
     }
     beast::error_code error;
@@ -188,6 +195,10 @@
       EndRequest(channel_end::Malformed);
       return;
     }
+    if (!ReserveMemory()) {
+      EndRequest(channel_end::TooLarge);
+      return;
+    }
     if (!state.mMessage->is_done()) {
       if (error || used == 0) {
         return;
@@ -200,6 +211,12 @@
   }
 }
 
+bool backend_channel::ReserveMemory()
+{
+  const std::size_t body = mParser->mMessage->get().body().size();
+  return mReservation.TryResize(body + mParser->mBuffer.size() + kMessageOverheadBytes);
+}
+
 bool backend_channel::HandleResponse()
 {
   http::response_parser<http::string_body>& parser = *mParser->mMessage;
@@ -209,17 +226,18 @@
   http_response response = ToResponse(parser.release());
   mParser->mMessage.reset();
   if (response.mStatus < 200) {
-    return false;
+    return SkipResponse();
   }
   const std::string* id = FindField(response.mFields, mRequest.mRequestIdName);
   if (!mRequest.mRequestId.empty() && id != nullptr && *id != mRequest.mRequestId) {
     // Duplicate response to an earlier request; the response to this one follows.
     mIsReusable = false;
-    return false;
+    return SkipResponse();
   }
-  // Only a successful response has to carry the request id.
-  const bool hasExpectedId =
-    mRequest.mRequestId.empty() || id != nullptr || response.mStatus >= 300;
+  // Only a successful response has to carry the request id, and the first one on a connection
+  // cannot belong to an earlier request.
+  const bool mayLackId = response.mStatus >= 300 && !mHasCarriedRequest;
+  const bool hasExpectedId = mRequest.mRequestId.empty() || id != nullptr || mayLackId;
   if (announcedTimeout) {
     mIdleTimeout = microseconds(static_cast<microseconds::rep>(
       static_cast<double>(announcedTimeout->count()) * kIdleTimeoutFraction));
@@ -229,6 +247,15 @@
   return true;
 }
 
+bool backend_channel::SkipResponse()
+{
+  if (++mSkippedResponses <= kMaxSkippedResponses) {
+    return false;
+  }
+  EndRequest(channel_end::Malformed);
+  return true;
+}
+
 void backend_channel::HandleConnectionEnd(bool aIsClean)
 {
   if (!mOnEnd) {
@@ -250,6 +277,9 @@
 void backend_channel::EndRequest(channel_end aEnd, http_response aResponse)
 {
   const auto onEnd = std::exchange(mOnEnd, {});
+  mHasCarriedRequest = true;
+  mSkippedResponses = 0;
+  mReservation.Resize(0);
   if (aEnd != channel_end::Answered || !mIsReusable) {
     Close();
   } else {
--- a/src/citronpulley/gateway/backend_channel.h
+++ b/src/citronpulley/gateway/backend_channel.h
@@ -3,6 +3,7 @@
 
 #include "citronpulley/base/instant.h"
 #include "citronpulley/gateway/http_message.h"
+#include "citronpulley/gateway/memory_reservation.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
@@ -23,6 +24,8 @@
   Lost,
   /** The received bytes are not a valid response, or a success lacks the id of the request. */
   Malformed,
+  /** The response exceeds the memory that this VM has for it; it may have no end. */
+  TooLarge,
 };
 
 /** Encoded request for a backend server. */
@@ -58,7 +61,8 @@
 
   using on_end = std::function<void(channel_end aEnd, http_response aResponse)>;
 
-  explicit backend_channel(boost::asio::ip::tcp::socket aSocket);
+  /** @param aBudget memory for responses */
+  backend_channel(boost::asio::ip::tcp::socket aSocket, std::shared_ptr<memory_budget> aBudget);
   ~backend_channel();
   backend_channel(const backend_channel&) = delete;
   backend_channel& operator=(const backend_channel&) = delete;
@@ -104,9 +108,14 @@
   void HandleConnectionEnd(bool aIsClean);
   /** @return true when the parsed response ended the request, false when it is to be skipped */
   bool HandleResponse();
+  /** Skips an interim or duplicate response. @return true when it ended the request */
+  bool SkipResponse();
+  /** @return true while the response that is being received fits into the memory budget */
+  bool ReserveMemory();
   void EndRequest(channel_end aEnd, http_response aResponse = {});
 
   boost::asio::ip::tcp::socket mSocket;
+  memory_reservation mReservation;
   std::unique_ptr<parser_state> mParser;
   channel_request mRequest;
   on_end mOnEnd;
@@ -115,6 +124,9 @@
   bool mIsWriting = false;
   bool mIsClosed = false;
   bool mIsReusable = true;
+  /** A response of an earlier request may still arrive. */
+  bool mHasCarriedRequest = false;
+  int mSkippedResponses = 0;
   bool mIsReserved = false;
   instant mConnectDeadline;
   instant mIdleUntil;
--- a/src/citronpulley/gateway/backend_connector.cpp
+++ b/src/citronpulley/gateway/backend_connector.cpp
@@ -37,7 +37,7 @@
     return nullptr;
   }
   ++mOpenedCount;
-  auto channel = std::make_shared<backend_channel>(asio::ip::tcp::socket(mIo));
+  auto channel = std::make_shared<backend_channel>(asio::ip::tcp::socket(mIo), mBudget);
   mChannels[aServer].push_front(channel);
   channel->Connect(endpoint.Get(), std::move(aOnDone));
   return channel;
--- a/src/citronpulley/gateway/backend_connector.h
+++ b/src/citronpulley/gateway/backend_connector.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <utility>
 
 namespace citronpulley {
 
@@ -16,8 +17,10 @@
 class backend_connector
 {
 public:
-  explicit backend_connector(boost::asio::io_context& aIo) noexcept
+  /** @param aBudget memory for responses */
+  backend_connector(boost::asio::io_context& aIo, std::shared_ptr<memory_budget> aBudget) noexcept
     : mIo(aIo)
+    , mBudget(std::move(aBudget))
   {
   }
 
@@ -51,6 +54,7 @@
                                                std::function<void(bool)> aOnDone);
 
   boost::asio::io_context& mIo;
+  std::shared_ptr<memory_budget> mBudget;
   std::map<server_name, channels> mChannels;
   std::uint64_t mOpenedCount = 0;
 };
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -16,6 +16,9 @@
 /** Subtracted from the deadline sent to backend servers, so that they give up before this VM. */
 constexpr std::int64_t kDeadlineMarginMs = 5;
 
+/** Part of the VM's memory that requests and responses may take together. */
+constexpr std::size_t kMessageMemoryDivisor = 4;
+
 /** @return a header value in milliseconds; nothing when absent, malformed or above one hour */
 std::optional<microseconds> ParseMilliseconds(const std::string* aValue)
 {
@@ -64,10 +67,11 @@
   : mSettings(std::move(aSettings))
   , mDialect(std::move(aDialect))
   , mHeaderNames(mDialect->GetHeaders())
+  , mBudget(std::make_shared<memory_budget>(mSettings.mMemoryBytes / kMessageMemoryDivisor))
   , mLog(mSettings.mName)
   , mSteering(mSettings.mSteering,
               [this](std::string_view aText) { return mDialect->ParseConfig(aText); })
-  , mConnector(mIo)
+  , mConnector(mIo, mBudget)
   , mCallerContext(std::make_shared<http_session_context>())
   , mCallerListener(mIo, mCallerContext)
   , mReadyListener(mIo,
@@ -92,6 +96,7 @@
   mCallerContext->mLimits = [this] {
     return mSteering.GetConfig() ? mSteering.GetConfig()->GetConfig().mLimits : caller_limits{};
   };
+  mCallerContext->mBudget = mBudget;
   mCallerContext->mOnRequest = [this](const auto& aRequest) { HandleRequest(aRequest); };
 }
 
@@ -202,6 +207,10 @@
     Refuse(aRequest, { refusal_reason::Stopping });
     return;
   }
+  if (mBudget->IsShort()) {
+    Refuse(aRequest, { refusal_reason::Overloaded });
+    return;
+  }
   const http_request& message = aRequest->mMessage;
   request_info requestInfo;
   requestInfo.mHost = message.GetHost();
@@ -324,6 +333,12 @@
   if (const std::string* loadHeader = FindField(aResponse.mFields, mHeaderNames.mLoad)) {
     load = mDialect->ParseLoad(*loadHeader);
   }
+  if (aEnd == channel_end::TooLarge) {
+    mLog.Write("response_too_large",
+               { { "backend", aExchange->mPlacement.mBackend },
+                 { "message_memory_bytes", static_cast<std::uint64_t>(mBudget->GetUsedBytes()) } },
+               now);
+  }
   if (aEnd == channel_end::Lost) {
     SuspectCrash(*aExchange);
   }
--- a/src/citronpulley/gateway/entry_gateway.h
+++ b/src/citronpulley/gateway/entry_gateway.h
@@ -8,6 +8,7 @@
 #include "citronpulley/gateway/fleet_bus.h"
 #include "citronpulley/gateway/gateway_metrics.h"
 #include "citronpulley/gateway/http_listener.h"
+#include "citronpulley/gateway/memory_budget.h"
 #include "citronpulley/gateway/wire_dialect.h"
 
 #include <boost/asio/io_context.hpp>
@@ -23,6 +24,9 @@
 
 namespace citronpulley {
 
+/** Memory of a VM whose settings name none. */
+constexpr std::size_t kDefaultMemoryBytes = 128UL * 1024 * 1024;
+
 /** Settings of an entry VM process. */
 struct entry_gateway_settings
 {
@@ -34,6 +38,8 @@
   std::string mReadyAddress;
   /** `IP:port` of the metrics endpoint; empty disables it. */
   std::string mMetricsAddress;
+  /** Memory of the VM in bytes. */
+  std::size_t mMemoryBytes = kDefaultMemoryBytes;
   /** Time between the stop signal and the latest exit of the process. */
   microseconds mGracePeriod{ 6'000'000 };
 };
@@ -118,6 +124,7 @@
   entry_gateway_settings mSettings;
   std::unique_ptr<wire_dialect> mDialect;
   header_names mHeaderNames;
+  std::shared_ptr<memory_budget> mBudget;
   boost::asio::io_context mIo{ 1 };
   event_log mLog;
   entry_steering mSteering;
--- a/src/citronpulley/gateway/entry_gateway_reporting.cpp
+++ b/src/citronpulley/gateway/entry_gateway_reporting.cpp
@@ -71,6 +71,7 @@
                     config ? static_cast<double>(config->GetConfig().mWarnings.size()) : 0);
   mMetrics.SetGauge("fresh_seconds",
                     static_cast<double>((mSteering.GetFreshUntil() - now).count()) / 1e6);
+  mMetrics.SetGauge("message_memory_bytes", static_cast<double>(mBudget->GetUsedBytes()));
   mMetrics.SetGauge("frames_refused", static_cast<double>(mBus.CountRefused()));
   mMetrics.SetGauge("log_lines_left_out", static_cast<double>(mLog.CountDroppedLines()));
 }
--- a/src/citronpulley/gateway/gateway_settings.cpp
+++ b/src/citronpulley/gateway/gateway_settings.cpp
@@ -15,6 +15,10 @@
  */
 constexpr microseconds kLeaseMargin{ 200'000 };
 
+/** Range of `memory_mb`: the process alone takes some MB. */
+constexpr std::int64_t kMinMemoryMb = 16;
+constexpr std::int64_t kMaxMemoryMb = 1'048'576;
+
 /** Missing or invalid setting. */
 class settings_error : public std::runtime_error
 {
@@ -101,6 +105,20 @@
   return std::max(withdrawalBound - kLeaseMargin, microseconds{ 500'000 });
 }
 
+/** @return `memory_mb` in bytes */
+std::size_t ReadMemoryBytes(const toml::table& aTable)
+{
+  if (!aTable["memory_mb"]) {
+    return kDefaultMemoryBytes;
+  }
+  const auto megabytes = Read<std::int64_t>(aTable, "memory_mb");
+  if (megabytes < kMinMemoryMb || megabytes > kMaxMemoryMb) {
+    throw settings_error("setting memory_mb is " + std::to_string(megabytes) + "; expected " +
+                         std::to_string(kMinMemoryMb) + " to " + std::to_string(kMaxMemoryMb));
+  }
+  return static_cast<std::size_t>(megabytes) * 1'024 * 1'024;
+}
+
 template<typename Settings, typename FillSettings>
 result<Settings> ReadFile(const std::string& aPath, const FillSettings& aFillSettings)
 {
@@ -133,6 +151,7 @@
       location.mCallerAddress = Read<std::string>(aTable, "caller_address");
       aSettings.mReadyAddress = Read<std::string>(aTable, "ready_address");
       aSettings.mMetricsAddress = aTable["metrics_address"].value_or(std::string());
+      aSettings.mMemoryBytes = ReadMemoryBytes(aTable);
       aSettings.mControlVms = ReadSeeds(aTable);
       aSettings.mGracePeriod = ReadDuration(aTable, "bounds.grace", aSettings.mGracePeriod);
       aSettings.mSteering.mLease = ReadLease(aTable);
--- a/src/citronpulley/gateway/http_session.cpp
+++ b/src/citronpulley/gateway/http_session.cpp
@@ -1,6 +1,7 @@
 #include "citronpulley/gateway/http_session.h"
 
 #include "citronpulley/gateway/clock.h"
+#include "citronpulley/gateway/memory_budget.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -18,6 +19,10 @@
 namespace {
 
 constexpr std::size_t kReadChunkBytes = 4'096;
+/** A request is held twice: as received, and as sent to a backend server. */
+constexpr std::size_t kRequestCopies = 2;
+/** Delay after which a caller may repeat a request that found no memory, in seconds. */
+constexpr const char* kMemoryRetryAfter = "0.5";
 
 unsigned GetHttpStatus(const beast::error_code& aError)
 {
@@ -54,6 +59,7 @@
   mOnCallerLeft = {};
   // Flush() adds `Connection: close`, because it is decided only when the response is sent.
   mEncoded = WriteResponse(aResponse, mMessage.mMethod == "HEAD", false);
+  mReservation.Resize(mEncoded.size());
   session->Flush();
 }
 
@@ -78,6 +84,8 @@
   : mSocket(std::move(aSocket))
   , mContext(std::move(aContext))
   , mParser(std::make_unique<parser_state>())
+  , mInputReservation(mContext->mBudget)
+  , mOutputReservation(mContext->mBudget)
   , mLastActivityAt(GetBootTime())
 {
 }
@@ -143,6 +151,9 @@
     RejectRequest(GetHttpStatus(error));
     return false;
   }
+  if (!ReserveMemory()) {
+    return false;
+  }
   if (!state.mMessage->is_done()) {
     const bool isContinueExpected = state.mMessage->is_header_done() && !state.mHasSentContinue &&
                                     state.mMessage->get()[http::field::expect] == "100-continue";
@@ -156,22 +167,43 @@
   state.mWantsClose = !state.mMessage->get().keep_alive();
   mIsClosing = state.mWantsClose;
   auto request = std::make_shared<inbound_request>(
-    weak_from_this(), ToRequest(state.mMessage->release()), mLastActivityAt);
+    weak_from_this(),
+    ToRequest(state.mMessage->release()),
+    std::exchange(mInputReservation, memory_reservation(mContext->mBudget)),
+    mLastActivityAt);
   state.mMessage.reset();
   mQueue.push_back(request);
   mContext->mOnRequest(request);
   return true;
 }
 
-void http_session::RejectRequest(unsigned aStatus)
+bool http_session::ReserveMemory()
+{
+  const std::size_t needed =
+    kRequestCopies * mParser->mMessage->get().body().size() + mParser->mBuffer.size();
+  if (mInputReservation.TryResize(needed)) {
+    return true;
+  }
+  if (needed > mContext->mBudget->GetMaxMessageBytes()) {
+    RejectRequest(413);
+  } else {
+    RejectRequest(503, { { "Retry-After", kMemoryRetryAfter } });
+  }
+  return false;
+}
+
+void http_session::RejectRequest(unsigned aStatus, http_fields aFields)
 {
   mIsClosing = true;
   mParser->mBuffer.consume(mParser->mBuffer.size());
   mParser->mMessage.reset();
-  auto request =
-    std::make_shared<inbound_request>(weak_from_this(), http_request{}, mLastActivityAt);
+  auto request = std::make_shared<inbound_request>(
+    weak_from_this(),
+    http_request{},
+    std::exchange(mInputReservation, memory_reservation(mContext->mBudget)),
+    mLastActivityAt);
   mQueue.push_back(request);
-  request->Respond(MakeResponse(aStatus));
+  request->Respond(MakeResponse(aStatus, {}, std::move(aFields)));
 }
 
 void http_session::Flush()
@@ -191,8 +223,13 @@
       mIsClosing = true;
       mHasFinalResponse = true;
     }
-    mOutput += encoded;
+    if (mOutput.empty()) {
+      mOutput = std::move(encoded);
+    } else {
+      mOutput += encoded;
+    }
   }
+  mOutputReservation.Resize(mOutput.size());
   if (!mOutput.empty()) {
     Write();
   }
@@ -206,7 +243,9 @@
                     asio::buffer(mOutput),
                     [self = shared_from_this()](const beast::error_code& aError, std::size_t) {
                       self->mIsWriting = false;
-                      self->mOutput.clear();
+                      // A large response leaves no buffer behind on a kept connection.
+                      self->mOutput = {};
+                      self->mOutputReservation.Resize(0);
                       if (self->mIsClosed) {
                         return;
                       }
--- a/src/citronpulley/gateway/http_session.h
+++ b/src/citronpulley/gateway/http_session.h
@@ -3,6 +3,7 @@
 
 #include "citronpulley/base/instant.h"
 #include "citronpulley/gateway/http_message.h"
+#include "citronpulley/gateway/memory_reservation.h"
 #include "citronpulley/steering/traffic_config.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,10 +22,14 @@
 class inbound_request
 {
 public:
-  inbound_request(std::weak_ptr<http_session> aSession, http_request aRequest, instant aReceivedAt)
+  inbound_request(std::weak_ptr<http_session> aSession,
+                  http_request aRequest,
+                  memory_reservation aReservation,
+                  instant aReceivedAt)
     : mMessage(std::move(aRequest))
     , mReceivedAt(aReceivedAt)
     , mSession(std::move(aSession))
+    , mReservation(std::move(aReservation))
   {
   }
 
@@ -49,6 +54,8 @@
 
   std::weak_ptr<http_session> mSession;
   std::string mEncoded;
+  /** Memory of the request, then of its response. */
+  memory_reservation mReservation;
   bool mIsSettled = false;
 };
 
@@ -58,6 +65,8 @@
   /** @return the limits in force; called for each request and each check of the time limits */
   std::function<caller_limits()> mLimits;
   std::function<void(const std::shared_ptr<inbound_request>&)> mOnRequest;
+  /** Memory for requests and responses; null for no limit. */
+  std::shared_ptr<memory_budget> mBudget;
   /**
    * True during shutdown: each connection is closed after its next response that leaves no request
    * in progress.
@@ -111,7 +120,9 @@
   void HandleBytes();
   /** @return true when a further request may be parsed from the buffer */
   bool ParseRequest();
-  void RejectRequest(unsigned aStatus);
+  /** @return true while the request that is being received fits into the memory budget */
+  bool ReserveMemory();
+  void RejectRequest(unsigned aStatus, http_fields aFields = {});
   void Write();
   void HandleWritten();
   void AbandonRequests();
@@ -121,6 +132,9 @@
   std::unique_ptr<parser_state> mParser;
   std::deque<std::shared_ptr<inbound_request>> mQueue;
   std::string mOutput;
+  /** Memory of the request that is being received, and of the output. */
+  memory_reservation mInputReservation;
+  memory_reservation mOutputReservation;
   bool mIsReading = false;
   bool mIsWriting = false;
   /** No further requests are parsed; the connection is closed after the pending responses. */
--- /dev/null
+++ b/tests/gateway/backend_channel_test.cpp
@@ -0,0 +1,222 @@
+#include "citronpulley/gateway/backend_channel.h"
+#include "citronpulley/gateway/memory_budget.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronpulley;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kBudgetBytes = 4'000'000;
+/** Bytes after which the faulty server stops; far more than the budget. */
+constexpr std::size_t kEndlessBytes = 64UL * 1024 * 1024;
+
+/** Backend server that sends scripted bytes for each request that it reads. */
+class scripted_server
+{
+public:
+  explicit scripted_server(asio::io_context& aIo)
+    : mAcceptor(aIo, { asio::ip::make_address("127.0.0.1"), 0 })
+    , mSocket(aIo)
+  {
+    mAcceptor.async_accept(mSocket, [this](const boost::system::error_code& aError) {
+      if (!aError) {
+        Read();
+      }
+    });
+  }
+
+  asio::ip::tcp::endpoint GetEndpoint() const { return mAcceptor.local_endpoint(); }
+  std::size_t CountSent() const { return mSent; }
+
+  /** One element for each request. */
+  std::deque<std::string> mResponses;
+  /** Repeated after the response until the connection ends, when not empty. */
+  std::string mEndless;
+
+private:
+  void Read()
+  {
+    mSocket.async_read_some(asio::buffer(mInput),
+                            [this](const boost::system::error_code& aError, std::size_t) {
+                              if (!aError && !mResponses.empty()) {
+                                mOutput = mResponses.front();
+                                mResponses.pop_front();
+                                Write();
+                              }
+                            });
+  }
+
+  void Write()
+  {
+    asio::async_write(mSocket,
+                      asio::buffer(mOutput),
+                      [this](const boost::system::error_code& aError, std::size_t aCount) {
+                        mSent += aCount;
+                        if (aError || mSent > kEndlessBytes) {
+                          return;
+                        }
+                        if (mEndless.empty()) {
+                          Read();
+                          return;
+                        }
+                        mOutput = mEndless;
+                        Write();
+                      });
+  }
+
+  asio::ip::tcp::acceptor mAcceptor;
+  asio::ip::tcp::socket mSocket;
+  std::array<char, 4'096> mInput{};
+  std::string mOutput;
+  std::size_t mSent = 0;
+};
+
+std::string MakeAnswer(const std::string& aId, const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + aId +
+         "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+} // namespace
+
+/** Runs a connection against a server that misbehaves, on loopback and without time limits. */
+TEST_GROUP(backend_channel)
+{
+  std::unique_ptr<asio::io_context> mIo;
+  std::unique_ptr<scripted_server> mServer;
+  std::shared_ptr<memory_budget> mBudget;
+  std::shared_ptr<backend_channel> mChannel;
+  std::optional<channel_end> mEnd;
+  http_response mResponse;
+  std::size_t mPeakBytes = 0;
+
+  void setup() override
+  {
+    mIo = std::make_unique<asio::io_context>(1);
+    mServer = std::make_unique<scripted_server>(*mIo);
+    mBudget = std::make_shared<memory_budget>(kBudgetBytes);
+    mChannel = std::make_shared<backend_channel>(asio::ip::tcp::socket(*mIo), mBudget);
+    bool isConnected = false;
+    mChannel->Connect(mServer->GetEndpoint(),
+                      [&](bool aIsConnected) { isConnected = aIsConnected; });
+    while (!isConnected) {
+      mIo->run_one();
+    }
+  }
+
+  void teardown() override
+  {
+    mChannel->Close();
+    mIo->run();
+    mChannel.reset();
+    mServer.reset();
+    mIo.reset();
+    mBudget.reset();
+    mResponse = {};
+  }
+
+  channel_end Request(const std::string& aId)
+  {
+    mEnd.reset();
+    channel_request request;
+    request.mEncoded = "GET / HTTP/1.1\r\nRequest-Id: " + aId + "\r\n\r\n";
+    request.mRequestId = aId;
+    request.mRequestIdName = "Request-Id";
+    mChannel->Send(std::move(request), [this](channel_end aEnd, http_response aResponse) {
+      mEnd = aEnd;
+      mResponse = std::move(aResponse);
+    });
+    while (!mEnd) {
+      mIo->run_one();
+      mPeakBytes = std::max(mPeakBytes, mBudget->GetUsedBytes());
+    }
+    return *mEnd;
+  }
+
+  void CheckEndless(const std::string& aStart, const std::string& aEndless, channel_end aExpected)
+  {
+    mServer->mResponses = { aStart };
+    mServer->mEndless = aEndless;
+    CHECK(Request("a") == aExpected);
+    CHECK(mChannel->IsClosed());
+    CHECK(mPeakBytes <= mBudget->GetMaxMessageBytes());
+    CHECK(mServer->CountSent() < kEndlessBytes);
+    UNSIGNED_LONGS_EQUAL(0, mBudget->GetUsedBytes());
+  }
+};
+
+TEST(backend_channel, delivers_a_whole_answer)
+{
+  const std::string body(540'000, 'p');
+  mServer->mResponses = { MakeAnswer("a", body) };
+  CHECK(Request("a") == channel_end::Answered);
+  CHECK(mResponse.mBody == body);
+  CHECK_FALSE(mChannel->IsClosed());
+}
+
+/** Guards against a header without end that fills the memory. */
+TEST(backend_channel, ends_at_an_endless_header)
+{
+  CheckEndless(
+    "HTTP/1.1 200 OK\r\n", "X-Filler: " + std::string(1'000, 'x') + "\r\n", channel_end::Malformed);
+}
+
+/** Guards against bytes without end that are no answer and contain no end of line. */
+TEST(backend_channel, ends_at_endless_garbage)
+{
+  CheckEndless("HTTP/1.1 200 ", std::string(4'000, 'x'), channel_end::Malformed);
+}
+
+/** Guards against a body without a length that never ends. */
+TEST(backend_channel, ends_at_an_endless_body)
+{
+  CheckEndless(
+    "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n", std::string(16'000, 'x'), channel_end::TooLarge);
+}
+
+/** Guards against a body whose chunks never end. */
+TEST(backend_channel, ends_at_endless_chunks)
+{
+  CheckEndless("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+               "3e80\r\n" + std::string(16'000, 'x') + "\r\n",
+               channel_end::TooLarge);
+}
+
+/** Guards against interim responses without end, each of them complete. */
+TEST(backend_channel, ends_at_endless_interim_responses)
+{
+  CheckEndless(
+    "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n", channel_end::Malformed);
+}
+
+/** Guards against a second copy of an answer that reaches the next caller on the connection. */
+TEST(backend_channel, skips_a_late_copy_of_an_earlier_answer)
+{
+  mServer->mResponses = { MakeAnswer("a", "first"),
+                          MakeAnswer("a", "first") + MakeAnswer("b", "second") };
+  CHECK(Request("a") == channel_end::Answered);
+  CHECK(Request("b") == channel_end::Answered);
+  STRCMP_EQUAL("second", mResponse.mBody.c_str());
+  CHECK(mChannel->IsClosed());
+}
+
+/** Guards against a late failure without an id that is taken for the answer of the next request. */
+TEST(backend_channel, refuses_an_answer_without_an_id_on_a_used_connection)
+{
+  const std::string failure = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+  mServer->mResponses = { MakeAnswer("a", "first"), failure };
+  CHECK(Request("a") == channel_end::Answered);
+  CHECK(Request("b") == channel_end::Malformed);
+  CHECK(mChannel->IsClosed());
+}
