Use the late answers of a slow leader instead of asking again

Cause: after a change of the leader all entry VMs ask the new one for the full list at once. The work that nobody uses keeps the leader slow: a metastable retry storm. Ruled out: the election (all control VMs know the leader after 0.8 s) and refused connections. Change: fleet/control_contact decides apart from I/O. Log lines control_lost and control_search name the reason.

--- a/src/citronpulley/gateway/control_subscription.cpp
+++ b/src/citronpulley/gateway/control_subscription.cpp
@@ -1,6 +1,5 @@
 #include "citronpulley/gateway/control_subscription.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace citronpulley {
@@ -12,85 +11,68 @@
   : mBus(aBus)
   , mSteering(aSteering)
   , mLog(aLog)
-  , mSeeds(std::move(aControlVms))
-  , mControlVms(mSeeds)
+  , mContact(std::move(aControlVms))
 {
-  if (!mControlVms.empty()) {
-    mCurrent = mControlVms.front();
-  }
 }
 
 void control_subscription::Tick(bool aIsAccepting, instant aNow)
 {
-  if (mIsWaiting && mSentAt + kReplyTimeout <= aNow) {
-    mBus.Disconnect(mCurrent);
-    if (std::exchange(mIsConnected, false)) {
-      mLog.Write("control_lost",
-                 { { "control_vm", mCurrent.mValue },
-                   { "silent_us", static_cast<std::int64_t>((aNow - mSentAt).count()) } },
-                 aNow);
-    }
-    SwitchToNext(aNow);
-  }
-  if (mIsWaiting || aNow < mNextReportAt || mCurrent.IsEmpty()) {
-    return;
+  const control_contact::decision decision =
+    mContact.Tick([this](const vm_name& aVm) { return mBus.GetLinkState(aVm); }, aNow);
+  LogDecision(decision, aNow);
+  for (const vm_name& vm : decision.mDisconnect) {
+    mBus.Disconnect(vm);
   }
-  mIsWaiting = true;
-  mSentAt = aNow;
-  mNextReportAt = aNow + entry_steering::kReportInterval;
-  mBus.Send(mCurrent, mSteering.MakeReport(aIsAccepting, aNow));
-}
-
-void control_subscription::SwitchToNext(instant aNow)
-{
-  mIsWaiting = false;
-  mNextReportAt = aNow + kSearchPause;
-  if (!mControlVms.empty()) {
-    mCurrent = mControlVms[++mCurrentIndex % mControlVms.size()];
+  if (decision.mReportTo) {
+    const entry_report report = mSteering.MakeReport(aIsAccepting, aNow);
+    mContact.RecordReport(report.mNumber, aNow);
+    mBus.Send(*decision.mReportTo, report);
   }
 }
 
-void control_subscription::UpdateControlVms(const contact_reply& aContacts)
+void control_subscription::LogDecision(const control_contact::decision& aDecision, instant aNow)
 {
-  if (aContacts.mControlVms.empty()) {
-    return;
-  }
-  mControlVms = aContacts.mControlVms;
-  for (const vm_name& seed : mSeeds) {
-    if (std::ranges::find(mControlVms, seed) == mControlVms.end()) {
-      mControlVms.push_back(seed);
-    }
+  if (aDecision.mIsLost) {
+    mLog.Write("control_lost",
+               { { "control_vm", aDecision.mGivenUp.mValue }, { "reason", aDecision.mReason } },
+               aNow);
+  } else if (!aDecision.mGivenUp.IsEmpty() && mNextSearchLogAt <= aNow) {
+    mNextSearchLogAt = aNow + kSearchLogInterval;
+    mLog.Write("control_search",
+               { { "control_vm", aDecision.mGivenUp.mValue },
+                 { "reason", aDecision.mReason },
+                 { "given_up", mContact.CountGivenUp() } },
+               aNow);
   }
 }
 
 void control_subscription::Receive(const entry_update& aUpdate, instant aNow)
 {
-  if (!mIsWaiting) {
-    return;
-  }
-  UpdateControlVms(aUpdate.mContacts);
-  mIsWaiting = false;
-  if (!aUpdate.mIsConfirmed) {
-    mIsConnected = false;
-    const vm_name& leader = aUpdate.mContacts.mLeader;
-    if (!leader.IsEmpty() && leader != mCurrent) {
-      mCurrent = leader;
-      mNextReportAt = aNow;
-    } else {
-      SwitchToNext(aNow);
-    }
+  const bool wasConnected = mContact.IsConnected();
+  const std::optional<microseconds> took = mContact.Receive(aUpdate, aNow);
+  if (!took || !aUpdate.mIsConfirmed) {
     return;
   }
-  if (!std::exchange(mIsConnected, true)) {
+  if (!wasConnected) {
     mLog.Write("control_found",
-               { { "control_vm", mCurrent.mValue },
+               { { "control_vm", mContact.GetCurrent().mValue },
+                 { "took_us", static_cast<std::int64_t>(took->count()) },
                  { "proof_age_us", aUpdate.mProofAge },
                  { "config", static_cast<std::uint64_t>(aUpdate.mConfig) } },
                aNow);
   }
-  if (mSteering.HandleUpdate(aUpdate, mSentAt, aNow)) {
+  const result<bool> isNewConfig = mSteering.HandleUpdate(aUpdate, aNow);
+  if (!isNewConfig) {
+    mLog.Write("update_not_applied",
+               { { "config", static_cast<std::uint64_t>(aUpdate.mConfig) },
+                 { "reason", isNewConfig.GetError().mMessage } },
+               aNow);
+    return;
+  }
+  if (isNewConfig.Get()) {
     mLog.Write("config_in_force",
                { { "version", static_cast<std::uint64_t>(aUpdate.mConfig) },
+                 { "took_us", static_cast<std::int64_t>(took->count()) },
                  { "proof_age_us", aUpdate.mProofAge } },
                aNow);
   }
--- a/src/citronpulley/gateway/fleet_bus.cpp
+++ b/src/citronpulley/gateway/fleet_bus.cpp
@@ -148,11 +148,17 @@
   }
 }
 
-instant fleet_bus::GetLastReceivedAt(const vm_name& aVm) const
+control_contact::link_state fleet_bus::GetLinkState(const vm_name& aVm) const
 {
   const auto found = mLinks.find(aVm);
-  const bool isConnected = found != mLinks.end() && found->second.mConnection;
-  return isConnected ? found->second.mConnection->GetLastReceivedAt() : instant{};
+  if (found == mLinks.end()) {
+    return {};
+  }
+  const link& link = found->second;
+  if (link.mConnection && !link.mConnection->IsClosed()) {
+    return { true, link.mConnection->GetLastReceivedAt() };
+  }
+  return { link.mConnecting != nullptr, {} };
 }
 
 void fleet_bus::CheckTimeouts(instant aNow)
--- a/src/citronpulley/gateway/fleet_bus.h
+++ b/src/citronpulley/gateway/fleet_bus.h
@@ -3,6 +3,7 @@
 
 #include "citronpulley/base/instant.h"
 #include "citronpulley/base/result.h"
+#include "citronpulley/fleet/control_contact.h"
 #include "citronpulley/fleet/fleet_message.h"
 #include "citronpulley/gateway/frame_connection.h"
 
@@ -53,11 +54,7 @@
   /** Closes the connection to a VM that does not reply; the next Send() opens a new one. */
   void Disconnect(const vm_name& aVm);
 
-  /**
-   * @return time at which the connection to a VM last received bytes, also of an incomplete
-   * message; the epoch when there is no connection
-   */
-  instant GetLastReceivedAt(const vm_name& aVm) const;
+  control_contact::link_state GetLinkState(const vm_name& aVm) const;
 
   /** @return number of connections closed because their bytes were refused */
   std::uint64_t CountRefused() const noexcept { return mRefused; }
