Send changes of the configuration in place of its whole text

Ruled out: differences of the text, which save bytes but not the parsing. Change: control VMs keep the elements that the last 64 versions changed (config_history) and send typed deltas, encoded once for all VMs that have the same version. Entry VMs no longer parse the operators' format.

--- a/src/citronpulley/fleet/fleet_control.cpp
+++ b/src/citronpulley/fleet/fleet_control.cpp
@@ -1,6 +1,5 @@
 #include "citronpulley/fleet/fleet_control.h"
 
-#include "citronpulley/base/compression.h"
 #include "citronpulley/base/overloaded.h"
 
 #include <algorithm>
@@ -315,19 +314,19 @@
 
 void fleet_control::RefreshConfig(instant aNow, fleet_actions& aActions)
 {
-  if (mState.GetVersion() == 0 || mConfig.mVersion == mState.GetVersion()) {
+  if (mState.GetVersion() == 0 || GetConfig().mVersion == mState.GetVersion()) {
     return;
   }
   result<traffic_config> config = mReader(mState.GetText());
   if (config) {
-    mConfig = std::move(config.Get());
-    mCompressedText = Compress(mState.GetText());
-    mLedger.SetRules(mConfig.mWorkspaces, aNow);
-    if (!mConfig.mWarnings.empty()) {
-      aActions.emplace_back(fleet_event{ "config_warnings",
-                                         { { "version", std::to_string(mConfig.mVersion) },
-                                           { "warnings", std::to_string(mConfig.mWarnings.size()) },
-                                           { "first", mConfig.mWarnings.front() } } });
+    mConfigs.Update(std::move(config.Get()));
+    mLedger.SetRules(GetConfig().mWorkspaces, aNow);
+    if (!GetConfig().mWarnings.empty()) {
+      aActions.emplace_back(
+        fleet_event{ "config_warnings",
+                     { { "version", std::to_string(GetConfig().mVersion) },
+                       { "warnings", std::to_string(GetConfig().mWarnings.size()) },
+                       { "first", GetConfig().mWarnings.front() } } });
     }
     return;
   }
--- a/src/citronpulley/fleet/fleet_control.h
+++ b/src/citronpulley/fleet/fleet_control.h
@@ -8,6 +8,7 @@
 #include "citronpulley/fleet/fleet_message.h"
 #include "citronpulley/fleet/fleet_state.h"
 #include "citronpulley/fleet/workspace_ledger.h"
+#include "citronpulley/steering/config_history.h"
 
 #include <functional>
 #include <map>
@@ -166,7 +167,7 @@
   const consensus_group& GetGroup() const noexcept { return mGroup; }
 
   /** @return number of warnings about the configuration in force */
-  std::size_t CountConfigWarnings() const noexcept { return mConfig.mWarnings.size(); }
+  std::size_t CountConfigWarnings() const noexcept { return GetConfig().mWarnings.size(); }
 
   /** @return entry VMs that accept requests; on a follower as the leader reported them last */
   std::vector<entry_location> ListEntryVms(instant aNow) const;
@@ -193,6 +194,7 @@
   void Execute(read_failed& aFailed, instant aNow, fleet_actions& aActions);
   void Execute(message_refused& aRefused, instant aNow, fleet_actions& aActions);
   void FinishRead(std::uint64_t aRead, bool aIsConfirmed);
+  const traffic_config& GetConfig() const noexcept { return mConfigs.GetCurrent(); }
   void CompactIfNeeded(instant aNow, fleet_actions& aActions);
   void HandleApplied(const fleet_command& aCommand,
                      fleet_outcome aOutcome,
@@ -215,13 +217,8 @@
   fleet_control_settings mSettings;
   config_reader mReader;
   fleet_state mState;
-  /** Parsed configuration in force; empty before the first one. */
-  traffic_config mConfig;
-  /**
-   * Compressed text of the configuration. Compressed once for all entry VMs: their links are
-   * narrow, and compressing each copy would cost time on the leader.
-   */
-  std::string mCompressedText;
+  /** Parsed configuration in force, empty before the first one, and its latest changes. */
+  config_history mConfigs;
   consensus_group mGroup;
   std::uint64_t mEpoch;
   backend_registry mBackends;
--- a/src/citronpulley/fleet/fleet_control_reports.cpp
+++ b/src/citronpulley/fleet/fleet_control_reports.cpp
@@ -39,8 +39,8 @@
 {
   for (const backend_record* backend : mBackends.ListCold(aNow)) {
     const auto service =
-      std::ranges::find(mConfig.mServices, backend->mService, &service_rule::mName);
-    if (service == mConfig.mServices.end() || service->mWarmupRate <= 0) {
+      std::ranges::find(GetConfig().mServices, backend->mService, &service_rule::mName);
+    if (service == GetConfig().mServices.end() || service->mWarmupRate <= 0) {
       continue;
     }
     const std::optional<double> rate =
@@ -105,7 +105,7 @@
   update.mProofAge = (aNow - *mGroup.GetConfirmedAt()).count();
   update.mConfig = mState.GetVersion();
   if (aReport.mConfig != mState.GetVersion()) {
-    update.mConfigText = mCompressedText;
+    update.mConfigDelta = mConfigs.GetEncodedDelta(aReport.mConfig);
   }
   update.mEvacuatedZones.assign(mState.GetEvacuatedZones().begin(),
                                 mState.GetEvacuatedZones().end());
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -69,8 +69,7 @@
   , mHeaderNames(mDialect->GetHeaders())
   , mBudget(std::make_shared<memory_budget>(mSettings.mMemoryBytes / kMessageMemoryDivisor))
   , mLog(mSettings.mName)
-  , mSteering(mSettings.mSteering,
-              [this](std::string_view aText) { return mDialect->ParseConfig(aText); })
+  , mSteering(mSettings.mSteering)
   , mConnector(mIo, mBudget)
   , mCallerContext(std::make_shared<http_session_context>())
   , mCallerListener(mIo, mCallerContext)
--- a/src/citronpulley/steering/traffic_config.h
+++ b/src/citronpulley/steering/traffic_config.h
@@ -27,6 +27,12 @@
   double mWeight = 1;
 
   friend bool operator==(const weighted_service&, const weighted_service&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mService, mWeight);
+  }
 };
 
 /** Rule for the requests to one host whose path starts with a prefix. */
@@ -57,6 +63,23 @@
   std::vector<region_name> mPermittedRegions;
 
   friend bool operator==(const route_rule&, const route_rule&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mName,
+             mHost,
+             mPrefix,
+             mIsIdempotent,
+             mIsOpen,
+             mIsSticky,
+             mPriority,
+             mMaxAttempts,
+             mTimeout,
+             mObjective,
+             mServices,
+             mPermittedRegions);
+  }
 };
 
 /** API keys, rate limit and permitted regions of a workspace. */
@@ -72,6 +95,12 @@
   std::vector<region_name> mPermittedRegions;
 
   friend bool operator==(const workspace_rule&, const workspace_rule&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mName, mKeys, mPriority, mRate, mBurst, mPermittedRegions);
+  }
 };
 
 /** Settings of a service to which backend servers belong. */
@@ -79,11 +108,17 @@
 {
   service_name mName;
   /** Maximum number of connections that one backend server accepts from all VMs together. */
-  std::size_t mMaxConnections = 0;
+  std::uint64_t mMaxConnections = 0;
   /** Requests per second that a cold backend server can handle; 0 means no limit. */
   double mWarmupRate = 0;
 
   friend bool operator==(const service_rule&, const service_rule&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mName, mMaxConnections, mWarmupRate);
+  }
 };
 
 /** Limits on the size and the timing of requests from callers. */
@@ -95,6 +130,12 @@
   microseconds mIdleTimeout{ 15'000'000 };
 
   friend bool operator==(const caller_limits&, const caller_limits&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mMaxHeaderBytes, mMaxBodyBytes, mHeaderTimeout, mIdleTimeout);
+  }
 };
 
 /** One version of the configuration. */
