Encode the full list of backend servers once for all VMs

Ruled out: keeping the epoch of the list across leaders: their lists differ in what each has heard. An update that answers an earlier report than the last one handled is ignored, and the lease counts from the report that it answers, which entry_steering records itself. Result: test a_full_list_is_encoded_once_and_completed_by_later_changes; the test on updates to earlier reports is replaced by two: one that was overtaken changes nothing, a late one counts from its report.

--- a/src/citronpulley/fleet/backend_registry.cpp
+++ b/src/citronpulley/fleet/backend_registry.cpp
@@ -165,26 +165,43 @@
   return record;
 }
 
+void backend_registry::RefreshSnapshot(instant aNow)
+{
+  const bool isUsable = mSnapshot.mIsValid && aNow < mSnapshot.mMadeAt + kSnapshotLifetime &&
+                        mSnapshot.mRevision >= mLastEvictedRemoval;
+  if (isUsable) {
+    return;
+  }
+  std::vector<backend_record> list;
+  list.reserve(mEntries.size());
+  for (const auto& [id, entry] : mEntries) {
+    list.push_back(MakeCurrentRecord(entry, aNow));
+  }
+  mSnapshot = { EncodeBackendList(list), mRevision, aNow, true };
+}
+
 void backend_registry::FillUpdate(std::uint64_t aEpoch,
                                   std::uint64_t aRevision,
                                   instant aNow,
-                                  entry_update& aUpdate) const
+                                  entry_update& aUpdate)
 {
   const bool isFullList =
     aEpoch != mEpoch || aRevision < mLastEvictedRemoval || aRevision > mRevision;
   aUpdate.mListEpoch = mEpoch;
   aUpdate.mListRevision = mRevision;
   aUpdate.mIsWholeList = isFullList;
-  for (auto position = mByRevision.upper_bound(isFullList ? 0 : aRevision);
-       position != mByRevision.end();
-       ++position) {
-    aUpdate.mBackends.push_back(MakeCurrentRecord(mEntries.at(position->second), aNow));
-  }
+  std::uint64_t since = aRevision;
   if (isFullList) {
-    return;
+    RefreshSnapshot(aNow);
+    aUpdate.mListSnapshot = mSnapshot.mEncoded;
+    aUpdate.mListSnapshotAge = (aNow - mSnapshot.mMadeAt).count();
+    since = mSnapshot.mRevision;
+  }
+  for (auto position = mByRevision.upper_bound(since); position != mByRevision.end(); ++position) {
+    aUpdate.mBackends.push_back(MakeCurrentRecord(mEntries.at(position->second), aNow));
   }
   for (const auto& [revision, id] : mRemovals) {
-    if (revision > aRevision && !mEntries.contains(id)) {
+    if (revision > since && !mEntries.contains(id)) {
       aUpdate.mRemoved.push_back(id);
     }
   }
--- a/src/citronpulley/fleet/backend_registry.h
+++ b/src/citronpulley/fleet/backend_registry.h
@@ -34,6 +34,8 @@
   static constexpr microseconds kBusyInterval{ 50'000 };
   /** Maximum number of removals kept for entry VMs that have not received them yet. */
   static constexpr std::size_t kMaxRemovals = 1'000;
+  /** Time for which the encoded full list is used again. */
+  static constexpr microseconds kSnapshotLifetime{ 1'000'000 };
 
   /** @param aEpoch number that is unique to this instance of the registry */
   explicit backend_registry(std::uint64_t aEpoch) noexcept
@@ -66,7 +68,9 @@
 
   /**
    * Fills the list of backend servers in an update for an entry VM: the changes since a revision,
-   * or the full list if the epoch differs or the revision is too old.
+   * or the full list if the epoch differs or the revision is too old. The full list is a snapshot
+   * that is encoded once for many VMs, and the changes after it: after a change of the leader all
+   * VMs ask for it at once.
    *
    * @param aEpoch epoch of the list that the entry VM has
    * @param aRevision revision of that list
@@ -74,7 +78,7 @@
   void FillUpdate(std::uint64_t aEpoch,
                   std::uint64_t aRevision,
                   instant aNow,
-                  entry_update& aUpdate) const;
+                  entry_update& aUpdate);
 
   /** @return records announced since a time, for forwarding to a new leader */
   std::vector<backend_record> ListSeenSince(instant aSince, instant aNow) const;
@@ -110,6 +114,16 @@
     instant mLoadAt;
   };
 
+  /** Full list at one revision, encoded for updates. */
+  struct list_snapshot
+  {
+    std::string mEncoded;
+    std::uint64_t mRevision = 0;
+    instant mMadeAt;
+    bool mIsValid = false;
+  };
+
+  void RefreshSnapshot(instant aNow);
   /** @return the record with the remaining warm-up time at `aNow` */
   static backend_record MakeCurrentRecord(const entry& aEntry, instant aNow);
   /**
@@ -137,6 +151,7 @@
   std::deque<std::pair<std::uint64_t, std::string>> mRemovals;
   /** Highest revision whose removal is no longer kept. */
   std::uint64_t mLastEvictedRemoval = 0;
+  list_snapshot mSnapshot;
 };
 
 } // namespace citronpulley
--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -1,8 +1,9 @@
 #include "citronpulley/fleet/entry_steering.h"
 
-#include "citronpulley/base/compression.h"
+#include "citronpulley/steering/config_delta.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace citronpulley {
@@ -17,8 +18,6 @@
 constexpr double kMinWaitFraction = 0.3;
 /** Objective of routes that do not set one. */
 constexpr microseconds kDefaultObjective{ 1'000'000 };
-/** Maximum size of the configuration text. */
-constexpr std::size_t kMaxConfigBytes = 32UL * 1024 * 1024;
 /**
  * Retry delay while no leader is reachable: the time of an election and a report. Callers retry
  * only a few times, so a shorter delay would waste their attempts.
@@ -26,6 +25,8 @@
 constexpr microseconds kControlRetryAfter{ 1'000'000 };
 /** Retry delay for a workspace that exceeded its rate: the time after which it has tokens again. */
 constexpr microseconds kRateRetryAfter{ 1'000'000 };
+/** Reports whose update is still used when it comes; an older one has nothing to tell any more. */
+constexpr std::size_t kMaxAwaitedUpdates = 16;
 /** Maximum number of crashes kept for the next report. */
 constexpr std::size_t kMaxCrashNotices = 200;
 
@@ -77,10 +78,8 @@
   return "unknown";
 }
 
-entry_steering::entry_steering(entry_steering_settings aSettings,
-                               std::function<result<traffic_config>(std::string_view)> aReader)
+entry_steering::entry_steering(entry_steering_settings aSettings)
   : mSettings(std::move(aSettings))
-  , mReader(std::move(aReader))
   , mPool(mSettings.mLocation.mZone, mSettings.mRegions)
   , mRetries(mSettings.mRetriesPerRequest, mSettings.mRetryReserve)
 {
@@ -92,7 +91,11 @@
   report.mLocation = mSettings.mLocation;
   report.mIsAccepting = aIsAccepting && mConfig != nullptr;
   report.mNumber = ++mNumber;
-  report.mConfig = mConfig ? mConfig->GetConfig().mVersion : 0;
+  mReportTimes.emplace(mNumber, aNow);
+  if (mReportTimes.size() > kMaxAwaitedUpdates) {
+    mReportTimes.erase(mReportTimes.begin());
+  }
+  report.mConfig = mConfig && !mNeedsWholeConfig ? mConfig->GetConfig().mVersion : 0;
   report.mListEpoch = mListEpoch;
   report.mListRevision = mListRevision;
   for (const workspace_meter::account_report& account : mMeter.Report(aNow)) {
@@ -113,32 +116,53 @@
   return report;
 }
 
-bool entry_steering::HandleUpdate(const entry_update& aUpdate, instant aSentAt, instant aNow)
+result<bool> entry_steering::UpdateConfig(const entry_update& aUpdate)
 {
-  if (!aUpdate.mIsConfirmed || aUpdate.mNumber != mNumber) {
+  const config_version currentVersion = mConfig ? mConfig->GetConfig().mVersion : 0;
+  if (aUpdate.mConfig == currentVersion) {
     return false;
   }
-  bool isNewConfig = false;
-  const config_version currentVersion = mConfig ? mConfig->GetConfig().mVersion : 0;
-  if (aUpdate.mConfig < currentVersion) {
-    // A confirmed leader never has an older configuration than one that was confirmed before.
+  const result<config_delta> delta = DecodeConfigDelta(aUpdate.mConfigDelta);
+  if (!delta) {
+    return delta.GetError();
+  }
+  static const traffic_config kEmptyConfig;
+  result<traffic_config> config =
+    ApplyConfigDelta(mConfig ? mConfig->GetConfig() : kEmptyConfig, mConfigDigest, delta.Get());
+  if (!config) {
+    return config.GetError();
+  }
+  mConfig = std::make_shared<const route_index>(std::move(config.Get()));
+  mConfigDigest = delta.Get().mDigest;
+  mNeedsWholeConfig = false;
+  return true;
+}
+
+result<bool> entry_steering::HandleUpdate(const entry_update& aUpdate, instant aNow)
+{
+  const auto report = mReportTimes.find(aUpdate.mNumber);
+  // A confirmed leader never has an older configuration than one that was confirmed before.
+  const bool isOlder = mConfig && aUpdate.mConfig < mConfig->GetConfig().mVersion;
+  if (!aUpdate.mIsConfirmed || report == mReportTimes.end() || isOlder) {
     return false;
   }
-  if (aUpdate.mConfig > currentVersion) {
-    const result<std::string> text = Decompress(aUpdate.mConfigText, kMaxConfigBytes);
-    if (!text) {
-      return false;
-    }
-    result<traffic_config> config = mReader(text.Get());
-    if (!config) {
-      return false;
+  const instant sentAt = report->second;
+  mReportTimes.erase(mReportTimes.begin(), std::next(report));
+  result<std::vector<backend_record>> snapshot = std::vector<backend_record>();
+  if (aUpdate.mIsWholeList) {
+    snapshot = DecodeBackendList(aUpdate.mListSnapshot);
+    if (!snapshot) {
+      return snapshot.GetError();
     }
-    mConfig = std::make_shared<const route_index>(std::move(config.Get()));
-    isNewConfig = true;
   }
-  mFreshUntil = std::max(mFreshUntil, aSentAt - microseconds(aUpdate.mProofAge) + mSettings.mLease);
+  result<bool> isNewConfig = UpdateConfig(aUpdate);
+  if (!isNewConfig) {
+    mNeedsWholeConfig = true;
+    return isNewConfig;
+  }
+  mFreshUntil = std::max(mFreshUntil, sentAt - microseconds(aUpdate.mProofAge) + mSettings.mLease);
   mPool.SetEvacuatedZones({ aUpdate.mEvacuatedZones.begin(), aUpdate.mEvacuatedZones.end() }, aNow);
-  UpdateBackends(aUpdate, aNow);
+  UpdateBackends(aUpdate, std::move(snapshot.Get()), aNow);
   mMeter.RecordLeaderContact(aNow);
   for (const workspace_grant& grant : aUpdate.mGrants) {
     mMeter.Grant(grant.mWorkspace, grant.mTokens, grant.mFallbackRate, grant.mMaxTokens);
@@ -161,9 +185,17 @@
   return isNewConfig;
 }
 
-void entry_steering::UpdateBackends(const entry_update& aUpdate, instant aNow)
+void entry_steering::UpdateBackends(const entry_update& aUpdate,
+                                    std::vector<backend_record> aSnapshot,
+                                    instant aNow)
 {
   std::set<std::string> listed;
+  for (backend_record& record : aSnapshot) {
+    record.mColdForMs =
+      std::max<std::int64_t>(0, record.mColdForMs - aUpdate.mListSnapshotAge / 1'000);
+    mPool.Update(record, aNow);
+    listed.insert(record.mId);
+  }
   for (const backend_record& record : aUpdate.mBackends) {
     mPool.Update(record, aNow);
     listed.insert(record.mId);
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -133,10 +133,7 @@
 class entry_steering
 {
 public:
-  static constexpr microseconds kReportInterval{ 300'000 };
-
-  entry_steering(entry_steering_settings aSettings,
-                 std::function<result<traffic_config>(std::string_view)> aReader);
+  explicit entry_steering(entry_steering_settings aSettings);
 
   /**
    * Makes the report to send to the leader now. Observations and crashes are included once.
@@ -146,15 +143,17 @@
   entry_report MakeReport(bool aIsAccepting, instant aNow);
 
   /**
-   * Handles the update that answers the last report; an update that answers an earlier report, or
-   * that comes from an unconfirmed leader, is ignored. So is one whose configuration is older than
-   * the current one or cannot be read.
+   * Handles the update that answers a report, also when it comes late. It is ignored when it
+   * answers a report before one whose update was handled, comes from an unconfirmed leader, or has
+   * a configuration that is older than the current one or cannot be applied to it; the next report
+   * then asks for the whole configuration. Its proof of leadership counts from the time at which
+   * that report was made.
    *
    * @param aUpdate update from a leader
-   * @param aSentAt time at which the report was sent
-   * @return true when a newer configuration came into force
+   * @return true when a newer configuration came into force, false when not, or the reason for
+   * which the configuration cannot be applied
    */
-  bool HandleUpdate(const entry_update& aUpdate, instant aSentAt, instant aNow);
+  result<bool> HandleUpdate(const entry_update& aUpdate, instant aNow);
 
   /**
    * Checks the route, the API key, the quarantine and the rate of a request, and spends a rate
@@ -214,16 +213,26 @@
                                 const placement& aPlacement,
                                 instant aNow) const;
   const service_name& PickService(const route_rule& aRoute);
-  void UpdateBackends(const entry_update& aUpdate, instant aNow);
+  /** @return true when the configuration of the update is new and came into force */
+  result<bool> UpdateConfig(const entry_update& aUpdate);
+  /** @param aSnapshot decoded list of the update; empty when it has only changes */
+  void UpdateBackends(const entry_update& aUpdate,
+                      std::vector<backend_record> aSnapshot,
+                      instant aNow);
 
   entry_steering_settings mSettings;
-  std::function<result<traffic_config>(std::string_view)> mReader;
   std::shared_ptr<const route_index> mConfig;
+  /** Digest of the configuration, for deltas. */
+  std::uint64_t mConfigDigest = 0;
+  /** The next report asks for the whole configuration. */
+  bool mNeedsWholeConfig = false;
   backend_pool mPool;
   workspace_meter mMeter;
   retry_budget mRetries;
   instant mFreshUntil;
   std::uint64_t mNumber = 0;
+  /** Time of each report that awaits its update, by its number. */
+  std::map<std::uint64_t, instant> mReportTimes;
   std::uint64_t mListEpoch = 0;
   std::uint64_t mListRevision = 0;
   std::vector<crash_notice> mCrashes;
--- a/src/citronpulley/fleet/fleet_message.h
+++ b/src/citronpulley/fleet/fleet_message.h
@@ -237,13 +237,18 @@
   /** Age of the proof of leadership, in microseconds, when the update was sent. */
   std::int64_t mProofAge = 0;
   config_version mConfig = 0;
-  /** Compressed text of the configuration; empty when the VM has this version. */
-  std::string mConfigText;
+  /** Encoded `config_delta` to this version; empty when the VM has it. */
+  std::string mConfigDelta;
   std::vector<zone_name> mEvacuatedZones;
   std::uint64_t mListEpoch = 0;
   std::uint64_t mListRevision = 0;
-  /** True when `mBackends` is the full list instead of the changes. */
+  /** True when `mListSnapshot` and the changes after it are the full list. */
   bool mIsWholeList = false;
+  /** Encoded full list at the time `mListSnapshotAge` before the update was sent. */
+  std::string mListSnapshot;
+  /** In microseconds. */
+  std::int64_t mListSnapshotAge = 0;
+  /** Backend servers that are new or changed. */
   std::vector<backend_record> mBackends;
   /** Backend servers that deregistered, stopped announcing or were replaced. */
   std::vector<std::string> mRemoved;
@@ -269,11 +274,13 @@
              mContacts,
              mProofAge,
              mConfig,
-             mConfigText,
+             mConfigDelta,
              mEvacuatedZones,
              mListEpoch,
              mListRevision,
              mIsWholeList,
+             mListSnapshot,
+             mListSnapshotAge,
              mBackends,
              mRemoved,
              mDepartures,
@@ -323,6 +330,12 @@
                                    announcement_batch,
                                    directory_update>;
 
+/** @return the encoded and compressed list */
+std::string EncodeBackendList(const std::vector<backend_record>& aBackends);
+
+/** @return the list, or `bad_message` when the bytes are not exactly one list */
+result<std::vector<backend_record>> DecodeBackendList(std::string_view aBytes);
+
 /** @return the encoded message */
 std::string EncodeFleetMessage(const fleet_message& aMessage);
 
--- a/tests/fleet/backend_registry_lists_test.cpp
+++ b/tests/fleet/backend_registry_lists_test.cpp
@@ -31,12 +31,23 @@
     return update;
   }
 
+  /** @return the listed backend servers after all steps of the update */
   static std::set<std::string> GetIds(const entry_update& aUpdate)
   {
     std::set<std::string> ids;
+    if (aUpdate.mIsWholeList) {
+      const result<std::vector<backend_record>> snapshot = DecodeBackendList(aUpdate.mListSnapshot);
+      CHECK(static_cast<bool>(snapshot));
+      for (const backend_record& record : snapshot.Get()) {
+        ids.insert(record.mId);
+      }
+    }
     for (const backend_record& record : aUpdate.mBackends) {
       ids.insert(record.mId);
     }
+    for (const std::string& id : aUpdate.mRemoved) {
+      ids.erase(id);
+    }
     return ids;
   }
 };
@@ -64,6 +75,29 @@
   CHECK(GetIds(GetUpdate(7, full.mListRevision)) == std::set<std::string>({ "3" }));
 }
 
+/**
+ * Guards against a full list that costs the leader as much for each VM as for the first one, and
+ * against one that lacks what changed since it was encoded.
+ */
+TEST(backend_registry_lists, a_full_list_is_encoded_once_and_completed_by_later_changes)
+{
+  Announce("1", 1);
+  Announce("2", 1);
+  const entry_update first = GetUpdate(0, 0);
+  mNow += microseconds(500'000);
+  Announce("3", 1);
+  mRegistry.Remove("1", 1);
+  const entry_update second = GetUpdate(0, 0);
+  CHECK(first.mListSnapshot == second.mListSnapshot);
+  LONGS_EQUAL(500'000, second.mListSnapshotAge);
+  CHECK(GetIds(second) == std::set<std::string>({ "2", "3" }));
+  mNow += backend_registry::kSnapshotLifetime;
+  const entry_update third = GetUpdate(0, 0);
+  LONGS_EQUAL(0, third.mListSnapshotAge);
+  CHECK(third.mBackends.empty() && third.mRemoved.empty());
+  CHECK(GetIds(third) == std::set<std::string>({ "2", "3" }));
+}
+
 /**
  * Guards against granting permits for warm backend servers, or none for those that became cold
  * again.
--- a/tests/fleet/entry_steering_test.cpp
+++ b/tests/fleet/entry_steering_test.cpp
@@ -1,5 +1,5 @@
-#include "citronpulley/base/compression.h"
 #include "citronpulley/fleet/entry_steering.h"
+#include "citronpulley/steering/config_history.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -39,10 +39,12 @@
   return config;
 }
 
-/** Replaces the dialect's parser: the text is the version. */
-result<traffic_config> Read(std::string_view aText)
+/** @return the whole configuration, encoded as in an update */
+std::string MakeWholeConfig(config_version aVersion)
 {
-  return MakeConfig(std::stoull(std::string(aText)));
+  config_history history;
+  history.Update(MakeConfig(aVersion));
+  return history.GetEncodedDelta(0);
 }
 
 entry_steering_settings MakeSettings()
@@ -61,9 +63,14 @@
 TEST_GROUP(entry_steering)
 {
   instant mNow{ microseconds(100'000'000) };
-  entry_steering mSteering{ MakeSettings(), Read };
+  entry_steering mSteering{ MakeSettings() };
   std::string mKey = kKey;
 
+  static bool IsNewConfig(const result<bool>& aOutcome)
+  {
+    return aOutcome && aOutcome.Get();
+  }
+
   bool Update(config_version aVersion, microseconds aProofAge = microseconds(0))
   {
     const entry_report report = mSteering.MakeReport(true, mNow);
@@ -72,9 +79,10 @@
     update.mIsConfirmed = true;
     update.mProofAge = aProofAge.count();
     update.mConfig = aVersion;
-    update.mConfigText = Compress(std::to_string(aVersion));
+    update.mConfigDelta = MakeWholeConfig(aVersion);
     update.mListEpoch = 1;
     update.mIsWholeList = true;
+    update.mListSnapshot = EncodeBackendList({});
     for (const char* id : { "i-1", "i-2", "i-3" }) {
       backend_record record;
       record.mId = id;
@@ -84,7 +92,7 @@
       record.mSlots = 4;
       update.mBackends.push_back(record);
     }
-    return mSteering.HandleUpdate(update, mNow, mNow);
+    return IsNewConfig(mSteering.HandleUpdate(update, mNow));
   }
 
   std::variant<admission_ticket, refusal> Admit(std::string_view aPath)
@@ -140,7 +148,7 @@
   update.mIsConfirmed = true;
   update.mConfig = 1;
   mNow += microseconds(700'000);
-  mSteering.HandleUpdate(update, sentAt, mNow);
+  CHECK(static_cast<bool>(mSteering.HandleUpdate(update, mNow)));
   CHECK(mSteering.GetFreshUntil() == sentAt + microseconds(4'800'000));
 }
 
@@ -176,18 +184,40 @@
   UNSIGNED_LONGS_EQUAL(5, mSteering.GetConfig()->GetConfig().mVersion);
 }
 
-/** Guards against an update that answers an earlier report and extends the lease. */
-TEST(entry_steering, ignores_an_update_that_answers_an_earlier_report)
+/** Guards against an update that answers an earlier report and undoes a later one. */
+TEST(entry_steering, ignores_an_update_that_answers_a_report_before_the_last_one_answered)
 {
   const entry_report earlier = mSteering.MakeReport(true, mNow);
-  mSteering.MakeReport(true, mNow);
+  CHECK(Update(2));
+  const instant freshUntil = mSteering.GetFreshUntil();
+  mNow += microseconds(100'000);
   entry_update update;
   update.mNumber = earlier.mNumber;
   update.mIsConfirmed = true;
+  update.mConfig = 3;
+  update.mConfigDelta = MakeWholeConfig(3);
+  CHECK_FALSE(IsNewConfig(mSteering.HandleUpdate(update, mNow)));
+  UNSIGNED_LONGS_EQUAL(2, mSteering.GetConfig()->GetConfig().mVersion);
+  CHECK(freshUntil == mSteering.GetFreshUntil());
+}
+
+/**
+ * Guards against discarding what a slow leader sent, which makes every VM ask for it again, and
+ * against a late update that extends the lease beyond its proof.
+ */
+TEST(entry_steering, a_late_update_is_used_and_counts_from_its_own_report)
+{
+  const instant sentAt = mNow;
+  const entry_report report = mSteering.MakeReport(true, mNow);
+  mNow += microseconds(1'500'000);
+  mSteering.MakeReport(true, mNow);
+  entry_update update;
+  update.mNumber = report.mNumber;
+  update.mIsConfirmed = true;
   update.mConfig = 1;
-  update.mConfigText = Compress("1");
-  CHECK_FALSE(mSteering.HandleUpdate(update, mNow, mNow));
-  POINTERS_EQUAL(nullptr, mSteering.GetConfig().get());
+  update.mConfigDelta = MakeWholeConfig(1);
+  CHECK(IsNewConfig(mSteering.HandleUpdate(update, mNow)));
+  CHECK(sentAt + microseconds(4'800'000) == mSteering.GetFreshUntil());
 }
 
 /** Guards against running a request twice that is not idempotent. */
@@ -278,11 +308,42 @@
   update.mConfig = 1;
   update.mListEpoch = 2;
   update.mIsWholeList = true;
+  update.mListSnapshot = EncodeBackendList({});
   update.mDepartures = { { "i-1", 0 }, { "i-2", 0 } };
-  mSteering.HandleUpdate(update, mNow, mNow);
+  CHECK(static_cast<bool>(mSteering.HandleUpdate(update, mNow)));
   LONGS_EQUAL(1, mSteering.GetPool().GetCount());
 }
 
+/** Guards against losing the list of a leader whose snapshot is older than its last changes. */
+TEST(entry_steering, a_full_list_is_its_snapshot_and_the_changes_after_it)
+{
+  Update(1);
+  entry_update update;
+  update.mNumber = mSteering.MakeReport(true, mNow).mNumber;
+  update.mIsConfirmed = true;
+  update.mConfig = 1;
+  update.mListEpoch = 2;
+  update.mIsWholeList = true;
+  std::vector<backend_record> snapshot(4);
+  for (std::size_t i = 0; i < snapshot.size(); ++i) {
+    snapshot[i].mId = "n-" + std::to_string(i);
+    snapshot[i].mService = kService;
+    snapshot[i].mSlots = 4;
+  }
+  update.mListSnapshot = EncodeBackendList(snapshot);
+  update.mBackends = { snapshot.front() };
+  update.mBackends.front().mId = "n-later";
+  update.mRemoved = { "n-2" };
+  CHECK(static_cast<bool>(mSteering.HandleUpdate(update, mNow)));
+  LONGS_EQUAL(4, mSteering.GetPool().GetCount());
+  // A list that cannot be read changes nothing, and the VM asks again.
+  entry_update damaged = update;
+  damaged.mNumber = mSteering.MakeReport(true, mNow).mNumber;
+  damaged.mListSnapshot.resize(damaged.mListSnapshot.size() / 2);
+  CHECK_FALSE(static_cast<bool>(mSteering.HandleUpdate(damaged, mNow)));
+  LONGS_EQUAL(4, mSteering.GetPool().GetCount());
+}
+
 /**
  * Guards against admitting a quarantined request, which would crash one backend server after the
  * other.
@@ -296,6 +357,6 @@
   update.mConfig = 1;
   update.mListEpoch = 1;
   update.mQuarantined = { digest{} };
-  mSteering.HandleUpdate(update, mNow, mNow);
+  CHECK(static_cast<bool>(mSteering.HandleUpdate(update, mNow)));
   CHECK(refusal_reason::Quarantined == GetReason("/get/x"));
 }
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -106,6 +106,14 @@
     mRegistry.FillUpdate(aEpoch, aRevision, mNow, update);
     return update;
   }
+
+  std::vector<backend_record> GetFullList()
+  {
+    const result<std::vector<backend_record>> list =
+      DecodeBackendList(GetUpdate(0, 0).mListSnapshot);
+    CHECK(static_cast<bool>(list));
+    return list.Get();
+  }
 };
 
 /** Guards against an out-of-order announcement overwriting a newer one. */
@@ -114,7 +122,7 @@
   CHECK(mRegistry.Update(MakeRecord("i-1", "10.0.0.1:80", 1'000, 5), mNow));
   CHECK_FALSE(mRegistry.Update(MakeRecord("i-1", "10.0.0.9:80", 1'000, 4), mNow));
   CHECK_FALSE(mRegistry.Update(MakeRecord("i-1", "10.0.0.9:80", 900, 9), mNow));
-  STRCMP_EQUAL("10.0.0.1:80", GetUpdate(0, 0).mBackends.front().mAddress.mValue.c_str());
+  STRCMP_EQUAL("10.0.0.1:80", GetFullList().front().mAddress.mValue.c_str());
 }
 
 /**
@@ -134,7 +142,7 @@
   CHECK(mRegistry.Update(MakeRecord("i-2", "10.0.0.1:80", 2'000, 1), mNow));
   LONGS_EQUAL(1, mRegistry.GetCount());
   CHECK_FALSE(mRegistry.Update(MakeRecord("i-1", "10.0.0.1:80", 1'000, 6), mNow));
-  STRCMP_EQUAL("i-2", GetUpdate(0, 0).mBackends.front().mId.c_str());
+  STRCMP_EQUAL("i-2", GetFullList().front().mId.c_str());
 }
 
 /** Guards against updates that omit a change, and against updates that repeat the full list. */
