Let a new leader take over the list of entry VMs

Cause: a new leader listed only the entry VMs that had already reported to it, and sent this list to all control VMs every 400 ms. A restarted control VM had no list at all until the leader sent one. Ruled out: waiting with the first list, which leaves callers without any. Change: a leader adopts the list that it last received, if it is at most 6 s old; adopted VMs count as reachable for 3 s. A control VM that asks its peers for the leader gets their list as well.

--- a/src/citronpulley/fleet/entry_registry.cpp
+++ b/src/citronpulley/fleet/entry_registry.cpp
@@ -23,24 +23,41 @@
 
 } // namespace
 
-void entry_registry::Update(const entry_report& aReport, instant aNow)
+entry_registry::entry& entry_registry::FindOrAdd(const entry_location& aLocation)
 {
-  entry& entry = mEntries[aReport.mLocation.mVm];
+  entry& entry = mEntries[aLocation.mVm];
   if (entry.mLocation.mVm.IsEmpty()) {
-    entry.mHash = std::hash<std::string>{}(aReport.mLocation.mVm.mValue);
+    entry.mHash = std::hash<std::string>{}(aLocation.mVm.mValue);
   }
-  entry.mLocation = aReport.mLocation;
+  entry.mLocation = aLocation;
+  return entry;
+}
+
+void entry_registry::Update(const entry_report& aReport, instant aNow)
+{
+  entry& entry = FindOrAdd(aReport.mLocation);
   entry.mIsAccepting = aReport.mIsAccepting;
-  entry.mSeenAt = aNow;
-  std::erase_if(
-    mEntries, [&](const auto& aEntry) { return aEntry.second.mSeenAt + kContactTimeout <= aNow; });
+  entry.mReachableUntil = aNow + kContactTimeout;
+  std::erase_if(mEntries,
+                [&](const auto& aEntry) { return aEntry.second.mReachableUntil <= aNow; });
+}
+
+void entry_registry::Adopt(const std::vector<entry_location>& aEntries, instant aNow)
+{
+  for (const entry_location& location : aEntries) {
+    if (!mEntries.contains(location.mVm)) {
+      entry& entry = FindOrAdd(location);
+      entry.mIsAccepting = true;
+      entry.mReachableUntil = aNow + kAdoptionTimeout;
+    }
+  }
 }
 
 std::vector<entry_location> entry_registry::ListAccepting(instant aNow) const
 {
   std::vector<entry_location> list;
   for (const auto& [vm, entry] : mEntries) {
-    if (entry.mIsAccepting && entry.mSeenAt + kContactTimeout > aNow) {
+    if (entry.mIsAccepting && entry.mReachableUntil > aNow) {
       list.push_back(entry.mLocation);
     }
   }
@@ -61,7 +78,7 @@
   std::size_t live = 0;
   std::size_t ahead = 0;
   for (const auto& [vm, entry] : mEntries) {
-    if (entry.mLocation.mZone == aBackend.mZone && entry.mSeenAt + kContactTimeout > aNow) {
+    if (entry.mLocation.mZone == aBackend.mZone && entry.mReachableUntil > aNow) {
       ++live;
       ahead += MixHashes(entry.mHash, backend) < rank ? 1 : 0;
     }
--- a/src/citronpulley/fleet/entry_registry.h
+++ b/src/citronpulley/fleet/entry_registry.h
@@ -27,6 +27,18 @@
   /** Records a report of an entry VM, and removes entry VMs whose contact timeout has passed. */
   void Update(const entry_report& aReport, instant aNow);
 
+  /**
+   * Time for which entry VMs that a former leader listed count as reachable without a report. It
+   * covers the time until they find the new leader.
+   */
+  static constexpr microseconds kAdoptionTimeout{ 3'000'000 };
+
+  /**
+   * Adds the entry VMs that a former leader listed, unless they are known. Otherwise a new leader
+   * would direct all callers to the few entry VMs that found it first.
+   */
+  void Adopt(const std::vector<entry_location>& aEntries, instant aNow);
+
   /** @return reachable entry VMs that accept requests */
   std::vector<entry_location> ListAccepting(instant aNow) const;
 
@@ -47,11 +59,14 @@
   {
     entry_location mLocation;
     bool mIsAccepting = false;
-    instant mSeenAt;
+    /** Time from which the VM counts as unreachable without a further report. */
+    instant mReachableUntil;
     /** Hash of the VM's name. */
     std::uint64_t mHash = 0;
   };
 
+  entry& FindOrAdd(const entry_location& aLocation);
+
   std::map<vm_name, entry> mEntries;
 };
 
--- a/src/citronpulley/fleet/fleet_control.cpp
+++ b/src/citronpulley/fleet/fleet_control.cpp
@@ -11,6 +11,8 @@
 
 /** Maximum age of announcements that a control VM forwards to a new leader. */
 constexpr microseconds kMaxForwardAge{ 6'000'000 };
+/** Maximum age of the list of entry VMs that a new leader takes over from the former one. */
+constexpr microseconds kMaxListAge{ 6'000'000 };
 /** Minimum number of voters for accepting changes, unless there are fewer seeds. */
 constexpr std::size_t kMinVoters = 3;
 
@@ -88,7 +90,7 @@
                             fleet_actions& aActions)
 {
   std::visit(overloaded{
-               [&](const contact_request&) { aReply(GetContacts()); },
+               [&](const contact_request&) { HandleContactRequest(aNow, aReply); },
                [&](const contact_reply& aContacts) { AddControlVms(aContacts.mControlVms); },
                [&](const group_message& aGroupMessage) {
                  group_actions actions;
@@ -102,10 +104,7 @@
                    HandleAnnouncement(record, aNow);
                  }
                },
-               [&](const directory_update& aUpdate) {
-                 AddControlVms(aUpdate.mControlVms);
-                 mListedEntryVms = aUpdate.mEntries;
-               },
+               [&](const directory_update& aUpdate) { HandleDirectory(aUpdate, aNow); },
              },
              aMessage);
 }
@@ -343,6 +342,9 @@
   aActions.emplace_back(fleet_event{
     mLastLeader.IsEmpty() ? "leader_lost" : "leader",
     { { "leader", mLastLeader.mValue }, { "term", std::to_string(mGroup.GetTerm()) } } });
+  if (mGroup.IsLeader() && aNow < mListedAt + kMaxListAge) {
+    mEntries.Adopt(mListedEntryVms, aNow);
+  }
   if (!mGroup.IsLeader()) {
     // The next leader may or may not commit the commands that this VM proposed.
     for (auto& [index, pending] : std::exchange(mPending, {})) {
@@ -401,6 +403,29 @@
     mGroup.GetLeaderVm(), announcement_batch{ std::exchange(mAnnouncementsToForward, {}) } });
 }
 
+void fleet_control::HandleContactRequest(instant aNow,
+                                         const std::function<void(fleet_message)>& aReply)
+{
+  aReply(GetContacts());
+  // The sender knows no leader. It may have just started, without a list of entry VMs.
+  const std::vector<entry_location> entries = ListEntryVms(aNow);
+  if (!entries.empty()) {
+    aReply(directory_update{ {}, GetContacts().mControlVms, entries });
+  }
+}
+
+void fleet_control::HandleDirectory(const directory_update& aUpdate, instant aNow)
+{
+  AddControlVms(aUpdate.mControlVms);
+  const bool isFromLeader = !aUpdate.mLeader.IsEmpty();
+  if (isFromLeader || mListedEntryVms.empty()) {
+    mListedEntryVms = aUpdate.mEntries;
+  }
+  if (isFromLeader) {
+    mListedAt = aNow;
+  }
+}
+
 void fleet_control::SendDirectory(instant aNow, fleet_actions& aActions)
 {
   if (!mGroup.IsConfirmedLeader(aNow) || aNow < mNextDirectoryAt) {
--- a/src/citronpulley/fleet/fleet_control.h
+++ b/src/citronpulley/fleet/fleet_control.h
@@ -206,6 +206,8 @@
   contact_reply GetContacts() const;
   void RequestContacts(instant aNow, fleet_actions& aActions);
   void ForwardAnnouncements(instant aNow, fleet_actions& aActions);
+  void HandleContactRequest(instant aNow, const std::function<void(fleet_message)>& aReply);
+  void HandleDirectory(const directory_update& aUpdate, instant aNow);
   void SendDirectory(instant aNow, fleet_actions& aActions);
   void RecordCrashes(const entry_report& aReport, instant aNow, fleet_actions& aActions);
   void HandleObservations(const entry_report& aReport, instant aNow);
@@ -234,7 +236,9 @@
   std::size_t mBytesSinceSnapshot = 0;
   std::map<digest, crash_record> mCrashes;
   std::vector<backend_record> mAnnouncementsToForward;
+  /** Entry VMs that another control VM listed, and when the leader sent them last. */
   std::vector<entry_location> mListedEntryVms;
+  instant mListedAt;
   vm_name mLastLeader;
   instant mNextContactAt;
   instant mNextForwardAt;
--- a/src/citronpulley/fleet/fleet_message.h
+++ b/src/citronpulley/fleet/fleet_message.h
@@ -307,6 +307,7 @@
 /** Control VMs and accepting entry VMs, sent by the leader to the other control VMs. */
 struct directory_update
 {
+  /** Empty when another control VM passes on its list to one that knows no leader. */
   vm_name mLeader;
   std::vector<vm_name> mControlVms;
   std::vector<entry_location> mEntries;
