Survive an unexpected error in one request, and start only with a readable state

Cause: an exception of any handler ended the process without a log line, with all its requests. Ruled out: going on at a control VM, whose replicated state in memory may be incomplete then. Change: an entry VM logs unexpected_error and goes on; a control VM logs it and ends, to start again from its disk. Result: test guarded_run; before, the first of its exceptions ends the run.

--- a/src/citronpulley/gateway/control_gateway.cpp
+++ b/src/citronpulley/gateway/control_gateway.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <exception>
 #include <random>
 #include <utility>
 
@@ -112,6 +113,13 @@
   if (!recovered) {
     return recovered.GetError();
   }
+  if (recovered.Get().mSnapshot) {
+    // Starting without the state would bring back withdrawn keys and backend servers that left.
+    const result<fleet_state> state = fleet_state::Decode(recovered.Get().mSnapshot->mState);
+    if (!state) {
+      return state.GetError();
+    }
+  }
   if (mSettings.mIsFirstStart) {
     std::optional<storage_batch> bootstrapBatch =
       BootstrapGroup(mSettings.mControl, recovered.Get(), GenerateRandomNumber());
@@ -171,12 +179,20 @@
              GetBootTime());
   WaitForSignal();
   Tick();
-  mIo.run();
+  status ended = std::monostate{};
+  try {
+    mIo.run();
+  } catch (const std::exception& failure) {
+    // The replicated state in memory may be incomplete; the one on disk is not, so the process ends
+    // and starts from there.
+    mLog.Write("unexpected_error", { { "error", failure.what() } }, GetBootTime());
+    ended = MakeError(error_code::Internal, step::Replicate, mSettings.mName, failure.what());
+  }
   mDiskWriter.reset();
   const instant now = GetBootTime();
   mLog.Write("stop", {}, now);
   mLog.Flush(now);
-  return std::monostate{};
+  return ended;
 }
 
 void control_gateway::WaitForSignal()
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -1,6 +1,7 @@
 #include "citronpulley/gateway/entry_gateway.h"
 
 #include "citronpulley/gateway/clock.h"
+#include "citronpulley/gateway/guarded_run.h"
 
 #include <algorithm>
 #include <charconv>
@@ -119,7 +120,11 @@
              GetBootTime());
   WaitForSignal();
   Tick();
-  mIo.run();
+  RunGuarded(mIo, [this](const std::string& aDescription) {
+    mLog.Write("unexpected_error", { { "error", aDescription } }, GetBootTime());
+    // The failed handler may have been the tick.
+    ScheduleTick();
+  });
   const instant now = GetBootTime();
   mLog.Write("stop", { { "open_requests", static_cast<std::uint64_t>(mExchanges.size()) } }, now);
   mLog.Flush(now);
--- a/src/citronpulley/gateway/memory_reservation.cpp
+++ b/src/citronpulley/gateway/memory_reservation.cpp
@@ -17,7 +17,7 @@
 }
 
 memory_reservation::memory_reservation(memory_reservation&& aOther) noexcept
-  : mBudget(aOther.mBudget)
+  : mBudget(std::move(aOther.mBudget))
   , mBytes(std::exchange(aOther.mBytes, 0))
 {
 }
@@ -26,7 +26,7 @@
 {
   if (this != &aOther) {
     Resize(0);
-    mBudget = aOther.mBudget;
+    mBudget = std::move(aOther.mBudget);
     mBytes = std::exchange(aOther.mBytes, 0);
   }
   return *this;
