--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -126,9 +126,9 @@
   if (!delta) {
     return delta.GetError();
   }
-  static const traffic_config kEmptyConfig;
-  result<traffic_config> config =
-    ApplyConfigDelta(mConfig ? mConfig->GetConfig() : kEmptyConfig, mConfigDigest, delta.Get());
+  const traffic_config emptyConfig;
+  const traffic_config& current = mConfig ? mConfig->GetConfig() : emptyConfig;
+  result<traffic_config> config = ApplyConfigDelta(current, mConfigDigest, delta.Get());
   if (!config) {
     return config.GetError();
   }
--- a/tests/base/frame_stream_test.cpp
+++ b/tests/base/frame_stream_test.cpp
@@ -122,7 +122,8 @@
   for (int i = 0; i < 3'000; ++i) {
     std::vector<std::string> frames = mFrames;
     std::string& frame = frames[random() % frames.size()];
-    frame[random() % frame.size()] ^= static_cast<char>(1U << random() % 8);
+    char& byte = frame[random() % frame.size()];
+    byte = static_cast<char>(static_cast<unsigned char>(byte) ^ 1U << random() % 8);
     const reception received = Receive(frames);
     // A changed padding bit of the compression changes no payload.
     CheckPrefix(received);
--- a/tests/fleet/control_contact_test.cpp
+++ b/tests/fleet/control_contact_test.cpp
@@ -37,10 +37,7 @@
     , mChangeCost(aChangeCost)
     , mRandom(kSeed)
   {
-    std::vector<vm_name> seeds;
-    for (int i = 0; i < 3; ++i) {
-      seeds.push_back(NameOf(i));
-    }
+    const std::vector<vm_name> seeds = { NameOf(0), NameOf(1), NameOf(2) };
     for (int i = 0; i < kEntryVms; ++i) {
       entry entry{ control_contact(seeds) };
       entry.mNextTickAt = mNow + microseconds(static_cast<microseconds::rep>(mRandom() % 300'000));
--- a/tests/fleet/message_fuzz_test.cpp
+++ b/tests/fleet/message_fuzz_test.cpp
@@ -54,7 +54,8 @@
       const std::size_t position = mRandom() % aBytes.size();
       switch (mRandom() % 6) {
         case 0:
-          aBytes[position] ^= static_cast<char>(1U << mRandom() % 8);
+          aBytes[position] =
+            static_cast<char>(static_cast<unsigned char>(aBytes[position]) ^ 1U << mRandom() % 8);
           break;
         case 1:
           aBytes[position] = static_cast<char>(mRandom());
@@ -180,6 +181,7 @@
     join_request{ peer, kPeer },
   };
   std::vector<std::string> encoded;
+  encoded.reserve(messages.size());
   for (const peer_message& message : messages) {
     encoded.push_back(EncodeFleetMessage(group_message{ kPeer, message }));
   }
