--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -392,24 +392,7 @@
   }
   aResponse.mFields = std::move(fields);
   const instant now = GetBootTime();
-  const event_class eventClass =
-    aResponse.mStatus < 400 ? event_class::Success : event_class::Failure;
-  if (mLog.TryReserveLine(eventClass, now)) {
-    mLog.Write(
-      "answered",
-      { { "request", GetRequestId(aExchange->mRequest->mMessage) },
-        { "route", aExchange->mTicket.mRoute->mName },
-        { "affinity", aExchange->mTicket.mPlacement.mAffinityKey.value_or("") },
-        { "backend", aExchange->mPlacement.mBackend },
-        { "zone", aExchange->mPlacement.mZone.mValue },
-        { "status", static_cast<int>(aResponse.mStatus) },
-        { "expected_wait_us",
-          static_cast<std::int64_t>(aExchange->mPlacement.mExpectedWait.count()) },
-        { "attempt_us", static_cast<std::int64_t>((now - aExchange->mAttemptStartedAt).count()) },
-        { "total_us",
-          static_cast<std::int64_t>((now - aExchange->mRequest->mReceivedAt).count()) } },
-      now);
-  }
+  LogAnswer(*aExchange, aResponse.mStatus, now);
   mMetrics.RecordRequest("answered", now - aExchange->mRequest->mReceivedAt);
   aExchange->mRequest->Respond(aResponse);
   RemoveExchange(aExchange);
--- a/src/citronpulley/gateway/entry_gateway.h
+++ b/src/citronpulley/gateway/entry_gateway.h
@@ -105,6 +105,7 @@
   void RemoveExchange(const exchange_ptr& aExchange) { mExchanges.erase(aExchange); }
   void ExpireExchanges(instant aNow);
   void EndAttempt(exchange& aExchange, attempt_outcome aOutcome, instant aNow);
+  void LogAnswer(const exchange& aExchange, unsigned aStatus, instant aNow);
   void LogFailedAttempt(const exchange& aExchange,
                         attempt_outcome aOutcome,
                         unsigned aStatus,
--- a/src/citronpulley/gateway/entry_gateway_reporting.cpp
+++ b/src/citronpulley/gateway/entry_gateway_reporting.cpp
@@ -26,6 +26,27 @@
   return ComputeDigest(text);
 }
 
+void entry_gateway::LogAnswer(const exchange& aExchange, unsigned aStatus, instant aNow)
+{
+  const event_class eventClass = aStatus < 400 ? event_class::Success : event_class::Failure;
+  if (mLog.TryReserveLine(eventClass, aNow)) {
+    mLog.Write(
+      "answered",
+      { { "request", GetRequestId(aExchange.mRequest->mMessage) },
+        { "route", aExchange.mTicket.mRoute->mName },
+        { "affinity", aExchange.mTicket.mPlacement.mAffinityKey.value_or("") },
+        { "backend", aExchange.mPlacement.mBackend },
+        { "zone", aExchange.mPlacement.mZone.mValue },
+        { "status", static_cast<int>(aStatus) },
+        { "expected_wait_us",
+          static_cast<std::int64_t>(aExchange.mPlacement.mExpectedWait.count()) },
+        { "attempt_us", static_cast<std::int64_t>((aNow - aExchange.mAttemptStartedAt).count()) },
+        { "total_us",
+          static_cast<std::int64_t>((aNow - aExchange.mRequest->mReceivedAt).count()) } },
+      aNow);
+  }
+}
+
 void entry_gateway::LogFailedAttempt(const exchange& aExchange,
                                      attempt_outcome aOutcome,
                                      unsigned aStatus,
--- a/src/citronpulley/steering/config_delta.cpp
+++ b/src/citronpulley/steering/config_delta.cpp
@@ -18,21 +18,6 @@
 /** Maximum size of a delta after decompression. */
 constexpr std::size_t kMaxDeltaBytes = 32UL * 1024 * 1024;
 
-route_key GetKey(const route_rule& aRoute)
-{
-  return { aRoute.mHost, aRoute.mPrefix };
-}
-
-const workspace_name& GetKey(const workspace_rule& aWorkspace)
-{
-  return aWorkspace.mName;
-}
-
-const service_name& GetKey(const service_rule& aService)
-{
-  return aService.mName;
-}
-
 template<typename Element>
 std::uint64_t ComputeDigestOf(const Element& aElement)
 {
@@ -86,6 +71,21 @@
 
 } // namespace
 
+route_key GetKey(const route_rule& aRoute)
+{
+  return { aRoute.mHost, aRoute.mPrefix };
+}
+
+const workspace_name& GetKey(const workspace_rule& aWorkspace)
+{
+  return aWorkspace.mName;
+}
+
+const service_name& GetKey(const service_rule& aService)
+{
+  return aService.mName;
+}
+
 std::uint64_t ComputeElementDigest(const route_rule& aRoute)
 {
   return ComputeDigestOf(aRoute);
--- a/src/citronpulley/steering/config_delta.h
+++ b/src/citronpulley/steering/config_delta.h
@@ -32,6 +32,11 @@
   }
 };
 
+/** @return what identifies an element within a configuration */
+route_key GetKey(const route_rule& aRoute);
+const workspace_name& GetKey(const workspace_rule& aWorkspace);
+const service_name& GetKey(const service_rule& aService);
+
 /** What turns one version of the configuration into another. */
 struct config_delta
 {
--- a/src/citronpulley/steering/config_history.cpp
+++ b/src/citronpulley/steering/config_history.cpp
@@ -8,21 +8,6 @@
 
 namespace {
 
-route_key GetKey(const route_rule& aRoute)
-{
-  return { aRoute.mHost, aRoute.mPrefix };
-}
-
-const workspace_name& GetKey(const workspace_rule& aWorkspace)
-{
-  return aWorkspace.mName;
-}
-
-const service_name& GetKey(const service_rule& aService)
-{
-  return aService.mName;
-}
-
 template<typename Key, typename Element>
 std::map<Key, const Element*> IndexElements(const std::vector<Element>& aElements)
 {
