Refuse a body by its stated length before it is allocated

Cause: the parser reserves the stated length of a body. Since the limit of 64 MB had given way to the memory budget, a response that states 9,000,000,000,000,000,000 bytes threw in the parser. Ruled out: catching the exception, which leaves the request without an end. Change: the limit of one message in the memory budget is the parser's limit of a body as well, for responses and for requests; a response beyond it ends as too large. Result: test refuses_a_stated_length_that_the_memory_cannot_hold; with the limit taken out it ends the test program with std::bad_alloc.

--- a/src/citronpulley/gateway/backend_channel.cpp
+++ b/src/citronpulley/gateway/backend_channel.cpp
@@ -189,15 +189,17 @@
       state.mMessage.emplace();
       state.mMessage->eager(true);
       state.mMessage->header_limit(kMaxHeaderBytes);
-      // ReserveMemory() limits the body.
-      state.mMessage->body_limit(boost::none);
+      // Refuses a stated length at once; otherwise the parser would allocate it.
+      if (const std::optional<std::size_t> maxBytes = mReservation.GetMaxBytes()) {
+        state.mMessage->body_limit(*maxBytes);
+      }
       state.mMessage->skip(mRequest.mIsHead);
     }
     beast::error_code error;
     const std::size_t used = state.mMessage->put(state.mBuffer.data(), error);
     state.mBuffer.consume(used);
     if (error && error != http::error::need_more) {
-      EndRequest(channel_end::Malformed);
+      EndRequest(error == http::error::body_limit ? channel_end::TooLarge : channel_end::Malformed);
       return;
     }
     if (!ReserveMemory()) {
--- a/src/citronpulley/gateway/http_session.cpp
+++ b/src/citronpulley/gateway/http_session.cpp
@@ -3,6 +3,7 @@
 #include "citronpulley/gateway/clock.h"
 #include "citronpulley/gateway/memory_budget.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -141,6 +142,10 @@
     state.mMessage->eager(true);
     state.mMessage->header_limit(limits.mMaxHeaderBytes);
     state.mMessage->body_limit(limits.mMaxBodyBytes);
+    if (const std::optional<std::size_t> maxBytes = mInputReservation.GetMaxBytes()) {
+      state.mMessage->body_limit(
+        std::min<std::uint64_t>(limits.mMaxBodyBytes, *maxBytes / kRequestCopies));
+    }
     state.mHasSentContinue = false;
     mRequestStartedAt = mLastActivityAt;
   }
--- a/src/citronpulley/gateway/memory_reservation.cpp
+++ b/src/citronpulley/gateway/memory_reservation.cpp
@@ -44,6 +44,11 @@
   return true;
 }
 
+std::optional<std::size_t> memory_reservation::GetMaxBytes() const noexcept
+{
+  return mBudget ? std::optional<std::size_t>(mBudget->GetMaxMessageBytes()) : std::nullopt;
+}
+
 void memory_reservation::Resize(std::size_t aBytes) noexcept
 {
   if (mBudget) {
--- a/src/citronpulley/gateway/memory_reservation.h
+++ b/src/citronpulley/gateway/memory_reservation.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 
 namespace citronpulley {
 
@@ -25,6 +26,9 @@
    */
   bool TryResize(std::size_t aBytes) noexcept;
 
+  /** @return largest size that TryResize() accepts; nothing for a message that is not limited */
+  std::optional<std::size_t> GetMaxBytes() const noexcept;
+
   /** Changes the size of a message that exists already, even beyond the budget. */
   void Resize(std::size_t aBytes) noexcept;
 
--- a/tests/gateway/backend_channel_test.cpp
+++ b/tests/gateway/backend_channel_test.cpp
@@ -195,6 +195,16 @@
                channel_end::TooLarge);
 }
 
+/** Guards against allocating a length that a faulty server states. */
+TEST(backend_channel, refuses_a_stated_length_that_the_memory_cannot_hold)
+{
+  mServer->mResponses = {
+    "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 9000000000000000000\r\n\r\nx"
+  };
+  CHECK(Request("a") == channel_end::TooLarge);
+  CHECK(mChannel->IsClosed());
+}
+
 /** Guards against interim responses without end, each of them complete. */
 TEST(backend_channel, ends_at_endless_interim_responses)
 {
