Open connections to backend servers from the VM's own address

The port is chosen at connect, so the number of connections to different backend servers is not bounded by the ports of one address.

--- a/src/citronpulley/gateway/backend_connector.cpp
+++ b/src/citronpulley/gateway/backend_connector.cpp
@@ -3,13 +3,42 @@
 #include "citronpulley/gateway/clock.h"
 #include "citronpulley/gateway/http_listener.h"
 
+#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
+#include <netinet/in.h>
 #include <utility>
 
 namespace citronpulley {
 
 namespace asio = boost::asio;
 
+namespace {
+
+/**
+ * @return a socket bound to the local address with any port, so that peers see the VM's own
+ * address. A failure shows in the attempt to connect.
+ */
+asio::ip::tcp::socket OpenSocket(asio::io_context& aIo,
+                                 const asio::ip::tcp::endpoint& aPeer,
+                                 const std::string& aLocalIp)
+{
+  asio::ip::tcp::socket socket(aIo);
+  boost::system::error_code error;
+  const asio::ip::address local = asio::ip::make_address(aLocalIp, error);
+  if (error || local.is_v4() != aPeer.address().is_v4()) {
+    return socket;
+  }
+  socket.open(aPeer.protocol(), error);
+  // The port is chosen at connect, when the peer is known, so that it is unique for the peer only.
+  const int enabled = 1;
+  ::setsockopt(
+    socket.native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &enabled, sizeof(enabled));
+  socket.bind({ local, 0 }, error);
+  return socket;
+}
+
+} // namespace
+
 std::shared_ptr<backend_channel> backend_connector::FindIdle(const server_name& aServer,
                                                              const std::string& aRequestId)
 {
@@ -38,7 +67,8 @@
     return nullptr;
   }
   ++mOpenedCount;
-  auto channel = std::make_shared<backend_channel>(asio::ip::tcp::socket(mIo), mBudget);
+  auto channel =
+    std::make_shared<backend_channel>(OpenSocket(mIo, endpoint.Get(), mLocalIp), mBudget);
   mChannels[aServer].push_front(channel);
   channel->Connect(endpoint.Get(), std::move(aOnDone));
   return channel;
--- a/src/citronpulley/gateway/backend_connector.h
+++ b/src/citronpulley/gateway/backend_connector.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <string>
 #include <utility>
 
 namespace citronpulley {
@@ -17,10 +18,16 @@
 class backend_connector
 {
 public:
-  /** @param aBudget memory for responses */
-  backend_connector(boost::asio::io_context& aIo, std::shared_ptr<memory_budget> aBudget) noexcept
+  /**
+   * @param aBudget memory for responses
+   * @param aLocalIp address that connections leave from; empty lets the system choose
+   */
+  backend_connector(boost::asio::io_context& aIo,
+                    std::shared_ptr<memory_budget> aBudget,
+                    std::string aLocalIp = {}) noexcept
     : mIo(aIo)
     , mBudget(std::move(aBudget))
+    , mLocalIp(std::move(aLocalIp))
   {
   }
 
@@ -57,6 +64,7 @@
 
   boost::asio::io_context& mIo;
   std::shared_ptr<memory_budget> mBudget;
+  std::string mLocalIp;
   std::map<server_name, channels> mChannels;
   std::uint64_t mOpenedCount = 0;
 };
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -43,6 +43,11 @@
   return std::to_string(aTime.count() / 1'000'000) + "." + milliseconds;
 }
 
+std::string GetIp(const std::string& aAddress)
+{
+  return aAddress.substr(0, aAddress.rfind(':'));
+}
+
 unsigned GetHttpStatus(refusal_reason aReason)
 {
   switch (aReason) {
@@ -71,7 +76,7 @@
   , mBudget(std::make_shared<memory_budget>(mSettings.mMemoryBytes / kMessageMemoryDivisor))
   , mLog(mSettings.mName)
   , mSteering(mSettings.mSteering)
-  , mConnector(mIo, mBudget)
+  , mConnector(mIo, mBudget, GetIp(mSettings.mSteering.mLocation.mVm.mValue))
   , mCallerContext(std::make_shared<http_session_context>())
   , mCallerListener(mIo, mCallerContext)
   , mReadyListener(mIo,
