Send nothing to a backend server in a pause that it asked for

Cause: nothing read the field. A response was classified as not executed and the server stayed usable at once.

Change: a 503 of the server itself with Retry-After excludes it at this VM until then. The latest end counts; announcements, shorter statements and successes of earlier requests do not end it, a restart of the server does. A list that leaves the server out for a moment does not either. A request that was placed before the 503 arrived is withheld and placed again. Paused servers do not count as capacity for the spill. When every server that could run a request has asked for a pause, callers are told when the first one ends. Values that are negative, dates or no numbers are logged and change nothing; longer ones than an hour count as an hour.

Ruled out: sharing pauses through the leader. The server asks one VM; what it takes from others it tells them itself.

--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -185,7 +185,11 @@
   }
   std::optional<placement> chosen = mPool.Choose(aTicket.mPlacement, aNow);
   if (!chosen) {
-    return Refuse(aTicket, refusal_reason::NoBackend);
+    refusal refused = Refuse(aTicket, refusal_reason::NoBackend);
+    if (const std::optional<instant> end = mPool.FindBackoffEnd(aTicket.mPlacement, aNow)) {
+      refused.mRetryAfter = std::max(refused.mRetryAfter, *end - aNow);
+    }
+    return refused;
   }
   const microseconds waitLimit = ComputeWaitLimit(aTicket, *chosen, aNow);
   if (chosen->mExpectedWait >= waitLimit) {
@@ -234,7 +238,7 @@
 {
   const bool isFresh = !aTicket.mNeedsKey || aNow < mFreshUntil;
   return isFresh && aNow < aTicket.mDeadline && aNow < aPlacedAt + kMaxSendDelay &&
-         mPool.IsAccepting(aPlacement.mBackend, aPlacement.mStartedAtMs);
+         mPool.IsAccepting(aPlacement.mBackend, aPlacement.mStartedAtMs, aNow);
 }
 
 void entry_steering::RecordSent(const placement& aPlacement, instant aNow)
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -217,6 +217,12 @@
     mPool.RecordLimit(aPlacement.mBackend, aPlacement.mStartedAtMs, aNotice, aNow);
   }
 
+  /** Records that a backend server asked this VM to send nothing until a time. */
+  void RecordBackoff(const placement& aPlacement, instant aUntil)
+  {
+    mPool.RecordBackoff(aPlacement.mBackend, aPlacement.mStartedAtMs, aUntil);
+  }
+
   /**
    * Records the end of an attempt and decides what follows.
    *
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -339,7 +339,7 @@
   if (aEnd == channel_end::Lost) {
     SuspectCrash(*aExchange);
   }
-  mSteering.RecordLimit(aExchange->mPlacement, ReadLimit(*aExchange, outcome, aResponse, now), now);
+  RecordStatements(*aExchange, outcome, aResponse, now);
   const next_step next = mSteering.HandleAttemptEnd(aExchange->mTicket,
                                                     aExchange->mPlacement,
                                                     outcome,
@@ -397,7 +397,7 @@
   }
   const unsigned status = GetHttpStatus(aRefusal.mReason);
   if (status == 429 || status == 503) {
-    fields.push_back({ "Retry-After", FormatSeconds(aRefusal.mRetryAfter) });
+    fields.push_back({ std::string(kRetryAfterField), FormatSeconds(aRefusal.mRetryAfter) });
   }
   aRequest->Respond(
     MakeResponse(status, mDialect->WriteError(ToString(aRefusal.mReason)), std::move(fields)));
--- a/src/citronpulley/gateway/entry_gateway.h
+++ b/src/citronpulley/gateway/entry_gateway.h
@@ -98,6 +98,21 @@
                          attempt_outcome aOutcome,
                          const http_response& aResponse,
                          instant aNow);
+  /** @return time until which the response asks this VM to send its backend server nothing */
+  std::optional<instant> ReadBackoff(const exchange& aExchange,
+                                     attempt_outcome aOutcome,
+                                     const http_response& aResponse,
+                                     instant aNow);
+  /** Records what the response says about further requests to its backend server. */
+  void RecordStatements(const exchange& aExchange,
+                        attempt_outcome aOutcome,
+                        const http_response& aResponse,
+                        instant aNow);
+  /** Counts and logs header values of a backend server that cannot be read and change nothing. */
+  void RecordUnreadable(const exchange& aExchange,
+                        std::string_view aEvent,
+                        const std::vector<std::string_view>& aValues,
+                        instant aNow);
   void ForwardResponse(const exchange_ptr& aExchange,
                        const std::optional<load_report>& aLoad,
                        http_response aResponse);
@@ -159,7 +174,7 @@
   instant mNextHousekeepingAt;
   /** Set by the stop signal. */
   std::optional<stop_schedule> mStop;
-  std::uint64_t mUnreadableLimits = 0;
+  std::uint64_t mUnreadableStatements = 0;
 };
 
 } // namespace citronpulley
--- a/src/citronpulley/gateway/entry_gateway_reporting.cpp
+++ b/src/citronpulley/gateway/entry_gateway_reporting.cpp
@@ -84,16 +84,66 @@
   if (rate) {
     return limit_rate{ *rate };
   }
-  ++mUnreadableLimits;
+  RecordUnreadable(aExchange, "limit_unreadable", values, aNow);
+  return limit_unknown{};
+}
+
+std::optional<instant> entry_gateway::ReadBackoff(const exchange& aExchange,
+                                                  attempt_outcome aOutcome,
+                                                  const http_response& aResponse,
+                                                  instant aNow)
+{
+  const bool isOwnRefusal = aResponse.mStatus == 503 && (aOutcome == attempt_outcome::NotExecuted ||
+                                                         aOutcome == attempt_outcome::Failed);
+  const std::vector<std::string_view> values =
+    isOwnRefusal ? FindAllFields(aResponse.mFields, kRetryAfterField)
+                 : std::vector<std::string_view>();
+  if (values.empty()) {
+    return std::nullopt;
+  }
+  const std::optional<microseconds> delay = ParseRetryAfter(values);
+  if (!delay) {
+    RecordUnreadable(aExchange, "retry_after_unreadable", values, aNow);
+    return std::nullopt;
+  }
+  return aNow + *delay;
+}
+
+void entry_gateway::RecordStatements(const exchange& aExchange,
+                                     attempt_outcome aOutcome,
+                                     const http_response& aResponse,
+                                     instant aNow)
+{
+  const placement& placed = aExchange.mPlacement;
+  mSteering.RecordLimit(placed, ReadLimit(aExchange, aOutcome, aResponse, aNow), aNow);
+  const std::optional<instant> backoffUntil = ReadBackoff(aExchange, aOutcome, aResponse, aNow);
+  if (!backoffUntil) {
+    return;
+  }
+  mSteering.RecordBackoff(placed, *backoffUntil);
+  if (mLog.TryReserveLine(event_class::Failure, aNow)) {
+    mLog.Write("backend_backoff",
+               { { "backend", placed.mBackend },
+                 { "request", GetRequestId(aExchange.mRequest->mMessage) },
+                 { "for_us", static_cast<std::int64_t>((*backoffUntil - aNow).count()) } },
+               aNow);
+  }
+}
+
+void entry_gateway::RecordUnreadable(const exchange& aExchange,
+                                     std::string_view aEvent,
+                                     const std::vector<std::string_view>& aValues,
+                                     instant aNow)
+{
+  ++mUnreadableStatements;
   if (mLog.TryReserveLine(event_class::Failure, aNow)) {
     constexpr std::size_t kMaxLoggedBytes = 64;
-    mLog.Write("limit_unreadable",
+    mLog.Write(aEvent,
                { { "backend", aExchange.mPlacement.mBackend },
-                 { "values", static_cast<std::uint64_t>(values.size()) },
-                 { "first", values.front().substr(0, kMaxLoggedBytes) } },
+                 { "values", static_cast<std::uint64_t>(aValues.size()) },
+                 { "first", aValues.front().substr(0, kMaxLoggedBytes) } },
                aNow);
   }
-  return limit_unknown{};
 }
 
 void entry_gateway::LogAnswer(const exchange& aExchange,
@@ -179,7 +229,9 @@
   mMetrics.SetGauge("fresh_seconds",
                     static_cast<double>((mSteering.GetFreshUntil() - now).count()) / 1e6);
   mMetrics.SetGauge("message_memory_bytes", static_cast<double>(mBudget->GetUsedBytes()));
-  mMetrics.SetGauge("limits_unreadable", static_cast<double>(mUnreadableLimits));
+  mMetrics.SetGauge("statements_unreadable", static_cast<double>(mUnreadableStatements));
+  mMetrics.SetGauge("backend_servers_backing_off",
+                    static_cast<double>(mSteering.GetPool().CountBackoffs(now)));
   mMetrics.SetGauge("backend_servers_limited",
                     static_cast<double>(mSteering.GetPool().CountLimits()));
   mMetrics.SetGauge("frames_refused", static_cast<double>(mBus.CountRefused()));
--- a/src/citronpulley/gateway/http_message.cpp
+++ b/src/citronpulley/gateway/http_message.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace citronpulley {
@@ -59,6 +61,23 @@
 
 } // namespace
 
+std::optional<microseconds> ParseRetryAfter(const std::vector<std::string_view>& aValues)
+{
+  std::optional<microseconds> longest;
+  for (const std::string_view value : aValues) {
+    double seconds = 0;
+    const char* end = value.data() + value.size();
+    const auto [last, code] = std::from_chars(value.data(), end, seconds, std::chars_format::fixed);
+    if (code != std::errc{} || last != end || !std::isfinite(seconds) || seconds < 0) {
+      return std::nullopt;
+    }
+    const double limited = std::min(seconds * 1e6, static_cast<double>(kMaxRetryAfter.count()));
+    const microseconds delay(static_cast<microseconds::rep>(limited));
+    longest = std::max(longest.value_or(delay), delay);
+  }
+  return longest;
+}
+
 bool IsSameName(std::string_view aLeft, std::string_view aRight) noexcept
 {
   return std::ranges::equal(aLeft, aRight, [](unsigned char aLeftByte, unsigned char aRightByte) {
--- a/src/citronpulley/gateway/http_message.h
+++ b/src/citronpulley/gateway/http_message.h
@@ -1,6 +1,9 @@
 #ifndef CITRONPULLEY_GATEWAY_HTTP_MESSAGE_H
 #define CITRONPULLEY_GATEWAY_HTTP_MESSAGE_H
 
+#include "citronpulley/base/instant.h"
+
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +27,20 @@
 
 using http_fields = std::vector<http_field>;
 
+/** Field of a refusal with the time after which the request may be repeated. */
+inline constexpr std::string_view kRetryAfterField = "Retry-After";
+
+/** Longest delay that ParseRetryAfter() returns; a faulty value must not last for good. */
+inline constexpr microseconds kMaxRetryAfter{ 3'600'000'000 };
+
+/**
+ * Parses the values of `Retry-After` in seconds, which may have a fraction. Of several values the
+ * longest counts, and a value above `kMaxRetryAfter` counts as that.
+ *
+ * @return nothing when there is no value, or one is negative, a date or anything else
+ */
+std::optional<microseconds> ParseRetryAfter(const std::vector<std::string_view>& aValues);
+
 /** @return true when two field names are equal, ignoring case */
 bool IsSameName(std::string_view aLeft, std::string_view aRight) noexcept;
 
--- a/src/citronpulley/gateway/http_session.cpp
+++ b/src/citronpulley/gateway/http_session.cpp
@@ -192,7 +192,7 @@
   if (needed > mContext->mBudget->GetMaxMessageBytes()) {
     RejectRequest(413);
   } else {
-    RejectRequest(503, { { "Retry-After", kMemoryRetryAfter } });
+    RejectRequest(503, { { std::string(kRetryAfterField), kMemoryRetryAfter } });
   }
   return false;
 }
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -66,8 +66,8 @@
  */
 constexpr microseconds kFirstEjection{ 400'000 };
 constexpr int kMaxEjectionDoublings = 3;
-/** Maximum number of limits of removed backend servers that are kept. */
-constexpr std::size_t kMaxRemovedLimits = 10'000;
+/** Maximum number of removed backend servers whose statements are kept. */
+constexpr std::size_t kMaxRemovedStatements = 10'000;
 /**
  * Time for which the backend servers of a zone count as cold after its evacuation ended, unless
  * they announce otherwise.
@@ -137,7 +137,7 @@
   backend.mRegion = region == mRegions.end() ? region_name{} : region->second;
   backend.mColdUntil = aNow + microseconds(aRecord.mColdForMs * 1'000);
   if (isNew) {
-    RestoreLimit(backend, aNow);
+    RestoreStatements(backend, aNow);
   }
 }
 
@@ -145,9 +145,13 @@
 {
   RemoveFromService(aBackend);
   mIdsByHash.erase(ComputeIdHash(aBackend.mRecord.mId));
-  if (aBackend.mShare && mRemovedLimits.size() < kMaxRemovedLimits) {
-    mRemovedLimits[aBackend.mRecord.mId] = { aBackend.mRecord.mStartedAtMs,
-                                             aBackend.mShare->GetLimit() };
+  const bool hasStatements = aBackend.mShare || aBackend.mBackoffUntil > instant{};
+  if (hasStatements && mRemovedStatements.size() < kMaxRemovedStatements) {
+    removed_statements& removed = mRemovedStatements[aBackend.mRecord.mId];
+    removed = { aBackend.mRecord.mStartedAtMs, std::nullopt, aBackend.mBackoffUntil };
+    if (aBackend.mShare) {
+      removed.mLimit = aBackend.mShare->GetLimit();
+    }
   }
 }
 
@@ -227,6 +231,14 @@
   return aBackend.mFailureRate * std::exp2(-age / kFailureHalfLifeUs);
 }
 
+bool backend_pool::IsPermitted(const backend& aBackend, const placement_request& aRequest) const
+{
+  const backend_record& record = aBackend.mRecord;
+  return !record.mIsLeaving && !mEvacuatedZones.contains(record.mZone) &&
+         Allows(aRequest.mRouteRegions, aBackend.mRegion) &&
+         Allows(aRequest.mWorkspaceRegions, aBackend.mRegion);
+}
+
 bool backend_pool::IsUsable(const backend& aBackend,
                             const placement_request& aRequest,
                             limits aLimits,
@@ -236,9 +248,7 @@
     return false;
   }
   const backend_record& record = aBackend.mRecord;
-  if (record.mIsLeaving || mEvacuatedZones.contains(record.mZone) ||
-      !Allows(aRequest.mRouteRegions, aBackend.mRegion) ||
-      !Allows(aRequest.mWorkspaceRegions, aBackend.mRegion) ||
+  if (aNow < aBackend.mBackoffUntil || !IsPermitted(aBackend, aRequest) ||
       std::ranges::find(aRequest.mExcluded, record.mId) != aRequest.mExcluded.end()) {
     return false;
   }
@@ -359,7 +369,9 @@
                     best->mRecord.mSlots };
 }
 
-bool backend_pool::IsAccepting(const std::string& aBackend, std::int64_t aStartedAtMs) const
+bool backend_pool::IsAccepting(const std::string& aBackend,
+                               std::int64_t aStartedAtMs,
+                               instant aNow) const
 {
   const auto found = mBackends.find(aBackend);
   if (found == mBackends.end()) {
@@ -367,7 +379,7 @@
   }
   const backend_record& record = found->second.mRecord;
   return record.mStartedAtMs == aStartedAtMs && !record.mIsLeaving &&
-         !mEvacuatedZones.contains(record.mZone);
+         found->second.mBackoffUntil <= aNow && !mEvacuatedZones.contains(record.mZone);
 }
 
 void backend_pool::RecordSent(const std::string& aBackend, instant aNow)
--- a/src/citronpulley/steering/backend_pool.h
+++ b/src/citronpulley/steering/backend_pool.h
@@ -129,9 +129,9 @@
 
   /**
    * @return true while the backend server with this process start takes requests: it has neither
-   * left nor been restarted, and its zone is not evacuated
+   * left nor been restarted nor asked for a pause, and its zone is not evacuated
    */
-  bool IsAccepting(const std::string& aBackend, std::int64_t aStartedAtMs) const;
+  bool IsAccepting(const std::string& aBackend, std::int64_t aStartedAtMs, instant aNow) const;
 
   /** Records that a request is being sent; call it once for each attempt. */
   void RecordSent(const std::string& aBackend, instant aNow);
@@ -173,6 +173,21 @@
                    const limit_notice& aNotice,
                    instant aNow);
 
+  /**
+   * Records that a backend server takes nothing from this VM until a time. An earlier statement
+   * that reaches further stays in force; a restart of the backend server ends both.
+   */
+  void RecordBackoff(const std::string& aBackend, std::int64_t aStartedAtMs, instant aUntil);
+
+  /**
+   * @return the time at which the first backend server takes requests again, when all that could
+   * run such a request asked this VM for a pause; nothing otherwise
+   */
+  std::optional<instant> FindBackoffEnd(const placement_request& aRequest, instant aNow) const;
+
+  /** @return number of backend servers that take nothing from this VM at the moment */
+  std::size_t CountBackoffs(instant aNow) const;
+
   /** What this VM knows of the limit of one backend server. */
   struct known_limit
   {
@@ -279,6 +294,8 @@
     limit_notice mNotice;
     instant mNoticeAt;
     std::uint64_t mNoticeReport = 0;
+    /** Time before which it takes nothing from this VM. */
+    instant mBackoffUntil;
   };
 
   struct service
@@ -304,6 +321,8 @@
   };
 
   bool HasToken(const backend& aBackend, instant aNow) const;
+  /** @return true when the route, the workspace and the state of the fleet permit the request */
+  bool IsPermitted(const backend& aBackend, const placement_request& aRequest) const;
   bool IsUsable(const backend& aBackend,
                 const placement_request& aRequest,
                 limits aLimits,
@@ -338,10 +357,11 @@
   double ComputeBalancedSpill(const service& aService) const;
   void BalanceIdleServices();
   void RemoveFromService(const backend& aBackend);
-  /** Removes what refers to a backend server that is about to be removed, but for its limit. */
+  /** Removes what refers to a backend server that is about to be removed, but for its statements.
+   */
   void RemoveReferences(const backend& aBackend);
-  /** Restores the limit of a backend server that was removed and is known again. */
-  void RestoreLimit(backend& aBackend, instant aNow);
+  /** Restores the statements of a backend server that was removed and is known again. */
+  void RestoreStatements(backend& aBackend, instant aNow);
 
   zone_name mZone;
   region_name mRegion;
@@ -352,15 +372,16 @@
   std::map<service_name, service> mServices;
   std::set<zone_name> mEvacuatedZones;
   std::map<std::string, double> mWarmupRates;
-  /** Limit of a process that was removed while it stated one. */
-  struct removed_limit
+  /** What a process that was removed had stated about the requests that it takes. */
+  struct removed_statements
   {
     std::int64_t mStartedAtMs = 0;
-    double mLimit = 0;
+    std::optional<double> mLimit;
+    instant mBackoffUntil;
   };
 
   /** By identity. A new leader may leave out a backend server for a moment. */
-  std::map<std::string, removed_limit> mRemovedLimits;
+  std::map<std::string, removed_statements> mRemovedStatements;
   instant mSharesValidUntil;
   std::uint64_t mChoices = 0;
   instant mNextSpillAt;
--- a/src/citronpulley/steering/backend_pool_limits.cpp
+++ b/src/citronpulley/steering/backend_pool_limits.cpp
@@ -24,16 +24,58 @@
     mBackends, [](const auto& aEntry) { return aEntry.second.mShare.has_value(); }));
 }
 
-void backend_pool::RestoreLimit(backend& aBackend, instant aNow)
+void backend_pool::RestoreStatements(backend& aBackend, instant aNow)
 {
-  const auto removed = mRemovedLimits.extract(aBackend.mRecord.mId);
-  if (!removed.empty() && removed.mapped().mStartedAtMs == aBackend.mRecord.mStartedAtMs) {
-    aBackend.mShare.emplace(removed.mapped().mLimit, aNow);
-    aBackend.mNotice = limit_rate{ removed.mapped().mLimit };
+  const auto found = mRemovedStatements.extract(aBackend.mRecord.mId);
+  if (found.empty() || found.mapped().mStartedAtMs != aBackend.mRecord.mStartedAtMs) {
+    return;
+  }
+  const removed_statements& removed = found.mapped();
+  aBackend.mBackoffUntil = removed.mBackoffUntil;
+  if (removed.mLimit) {
+    aBackend.mShare.emplace(*removed.mLimit, aNow);
+    aBackend.mNotice = limit_rate{ *removed.mLimit };
     aBackend.mNoticeAt = aNow;
   }
 }
 
+void backend_pool::RecordBackoff(const std::string& aBackend,
+                                 std::int64_t aStartedAtMs,
+                                 instant aUntil)
+{
+  const auto found = mBackends.find(aBackend);
+  if (found != mBackends.end() && found->second.mRecord.mStartedAtMs == aStartedAtMs) {
+    found->second.mBackoffUntil = std::max(found->second.mBackoffUntil, aUntil);
+  }
+}
+
+std::optional<instant> backend_pool::FindBackoffEnd(const placement_request& aRequest,
+                                                    instant aNow) const
+{
+  const auto service = mServices.find(aRequest.mService);
+  if (service == mServices.end()) {
+    return std::nullopt;
+  }
+  std::optional<instant> first;
+  for (const std::string& id : service->second.mBackends) {
+    const backend& backend = mBackends.at(id);
+    if (!IsPermitted(backend, aRequest)) {
+      continue;
+    }
+    if (backend.mBackoffUntil <= aNow) {
+      return std::nullopt;
+    }
+    first = std::min(first.value_or(backend.mBackoffUntil), backend.mBackoffUntil);
+  }
+  return first;
+}
+
+std::size_t backend_pool::CountBackoffs(instant aNow) const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    mBackends, [aNow](const auto& aEntry) { return aNow < aEntry.second.mBackoffUntil; }));
+}
+
 void backend_pool::RecordLimit(const std::string& aBackend,
                                std::int64_t aStartedAtMs,
                                const limit_notice& aNotice,
--- a/src/citronpulley/steering/backend_pool_spill.cpp
+++ b/src/citronpulley/steering/backend_pool_spill.cpp
@@ -56,7 +56,7 @@
   for (const std::string& id : aService.mBackends) {
     const backend& backend = mBackends.at(id);
     const bool isUnavailable = backend.mRecord.mIsLeaving || aNow < backend.mEjectedUntil ||
-                               aNow < backend.mColdUntil ||
+                               aNow < backend.mColdUntil || aNow < backend.mBackoffUntil ||
                                mEvacuatedZones.contains(backend.mRecord.mZone);
     if ((backend.mRegion == mRegion) != aIsOwnRegion || isUnavailable) {
       continue;
