Send requests on through other entry VMs while one reaches no backend server

Cause: a VM that cannot reach a backend server knew only two answers, to try another one or to refuse. Class of fault: a process that takes the state of its own links for the state of its peers.

Change: - steering/reach_monitor: failed connections to two backend servers of a service start probes of three others, in other zones first. If none answers, the VM is cut off from the service; a probe each 250 ms finds the end. Answers on kept connections prove nothing, as these may live on while new ones are refused. - Reports name the services that a VM is cut off from. The leader tells each VM up to six VMs of its region and three of each other one that reach more (entry_registry), drawn by a hash, and only after a change. When the backend servers are down for all, nobody is named and requests are refused at once. - fleet/relay_pool chooses the VM with the fewest requests in progress among those that the permitted regions of route and workspace allow. The request travels as HTTP to the internal port, one hop at most. The second VM admits and places it like its own, with its own knowledge of keys, quarantine, limits and departures, but counts neither the rate nor the retry budget a second time, takes over the attempts made and the time left, and declines a request whose first VM has a newer configuration. - A lost connection to the second VM counts as a run that may have happened. A refusal by it is passed on, or tried at another VM where only its state was the reason. - Failures and crashes seen while a service is not reachable are not reported. - A VM that is cut off does not let requests try backend servers that failed.

Ruled out: leaving the directory alone, because callers keep a list for 5 s and connections for longer.

--- a/src/citronpulley/fleet/entry_registry.cpp
+++ b/src/citronpulley/fleet/entry_registry.cpp
@@ -11,6 +11,13 @@
 
 /** Maximum number of entry VMs that share the requests to one cold backend server. */
 constexpr std::size_t kWarmupSenders = 4;
+/**
+ * Entry VMs of its own region, and of each other region, that a VM is told for relays. Six of a
+ * region share the requests of a VM that is cut off; the others are for a region that is cut off as
+ * a whole, and for requests that are permitted in one region only.
+ */
+constexpr std::size_t kOwnRegionRelays = 6;
+constexpr std::size_t kOtherRegionRelays = 3;
 /** Fraction of the tolerated rate that is used, since permits of two leaders can overlap. */
 constexpr double kWarmupUse = 0.9;
 
@@ -26,6 +33,9 @@
 entry_registry::entry& entry_registry::FindOrAdd(const entry_location& aLocation)
 {
   entry& entry = mEntries[aLocation.mVm];
+  if (entry.mLocation != aLocation) {
+    ++mVersion;
+  }
   if (entry.mLocation.mVm.IsEmpty()) {
     entry.mHash = std::hash<std::string>{}(aLocation.mVm.mValue);
   }
@@ -36,10 +46,70 @@
 void entry_registry::Update(const entry_report& aReport, instant aNow)
 {
   entry& entry = FindOrAdd(aReport.mLocation);
+  if (entry.mIsAccepting != aReport.mIsAccepting || entry.mCutOff != aReport.mCutOff) {
+    ++mVersion;
+  }
   entry.mIsAccepting = aReport.mIsAccepting;
+  entry.mCutOff = aReport.mCutOff;
   entry.mReachableUntil = aNow + kContactTimeout;
-  std::erase_if(mEntries,
-                [&](const auto& aEntry) { return aEntry.second.mReachableUntil <= aNow; });
+  const std::size_t removed = std::erase_if(
+    mEntries, [&](const auto& aEntry) { return aEntry.second.mReachableUntil <= aNow; });
+  mVersion += removed;
+}
+
+std::vector<relay_vm> entry_registry::ComputeRelays(const entry& aEntry, instant aNow) const
+{
+  std::map<region_name, std::vector<std::pair<std::uint64_t, const entry*>>> candidates;
+  for (const auto& [vm, other] : mEntries) {
+    const bool reachesMore =
+      other.mCutOff.empty() ||
+      std::ranges::any_of(aEntry.mCutOff, [&](const service_name& aService) {
+        return std::ranges::find(other.mCutOff, aService) == other.mCutOff.end();
+      });
+    if (&other != &aEntry && other.mIsAccepting && other.mReachableUntil > aNow && reachesMore) {
+      candidates[other.mLocation.mRegion].emplace_back(MixHashes(aEntry.mHash, other.mHash),
+                                                       &other);
+    }
+  }
+  std::vector<relay_vm> relays;
+  for (auto& [region, list] : candidates) {
+    const std::size_t count = std::min(
+      list.size(), region == aEntry.mLocation.mRegion ? kOwnRegionRelays : kOtherRegionRelays);
+    std::ranges::partial_sort(list, list.begin() + static_cast<std::ptrdiff_t>(count));
+    list.resize(count);
+    for (const auto& [rank, other] : list) {
+      relays.push_back({ other->mLocation.mVm, region, other->mCutOff });
+    }
+  }
+  return relays;
+}
+
+entry_registry::entry* entry_registry::FindWithRelays(const vm_name& aVm, instant aNow)
+{
+  const auto found = mEntries.find(aVm);
+  if (found == mEntries.end()) {
+    return nullptr;
+  }
+  entry& entry = found->second;
+  if (entry.mRelayVersion != mVersion) {
+    entry.mRelays = ComputeRelays(entry, aNow);
+    entry.mRelayDigest = ComputeRelayDigest(entry.mRelays);
+    entry.mRelayVersion = mVersion;
+  }
+  return &entry;
+}
+
+const std::vector<relay_vm>& entry_registry::ListRelays(const vm_name& aVm, instant aNow)
+{
+  static const std::vector<relay_vm> kNone;
+  const entry* entry = FindWithRelays(aVm, aNow);
+  return entry == nullptr ? kNone : entry->mRelays;
+}
+
+std::uint64_t entry_registry::GetRelayDigest(const vm_name& aVm, instant aNow)
+{
+  const entry* entry = FindWithRelays(aVm, aNow);
+  return entry == nullptr ? 0 : entry->mRelayDigest;
 }
 
 void entry_registry::Adopt(const std::vector<entry_location>& aEntries, instant aNow)
--- a/src/citronpulley/fleet/entry_registry.h
+++ b/src/citronpulley/fleet/entry_registry.h
@@ -54,11 +54,27 @@
                                        double aRate,
                                        instant aNow) const;
 
+  /**
+   * Lists the entry VMs that a VM may send requests to when it does not reach backend servers. The
+   * VMs are drawn by a hash, so that each one helps about as many others, and so that the list of a
+   * VM changes little. Computed again only after a change in the fleet.
+   */
+  const std::vector<relay_vm>& ListRelays(const vm_name& aVm, instant aNow);
+
+  /** @return digest of that list */
+  std::uint64_t GetRelayDigest(const vm_name& aVm, instant aNow);
+
 private:
   struct entry
   {
     entry_location mLocation;
     bool mIsAccepting = false;
+    /** Services whose backend servers the VM does not reach. */
+    std::vector<service_name> mCutOff;
+    /** VMs for relays, their digest, and the version of the fleet from which they follow. */
+    std::vector<relay_vm> mRelays;
+    std::uint64_t mRelayDigest = 0;
+    std::uint64_t mRelayVersion = 0;
     /** Time from which the VM counts as unreachable without a further report. */
     instant mReachableUntil;
     /** Hash of the VM's name. */
@@ -66,7 +82,11 @@
   };
 
   entry& FindOrAdd(const entry_location& aLocation);
+  entry* FindWithRelays(const vm_name& aVm, instant aNow);
+  std::vector<relay_vm> ComputeRelays(const entry& aEntry, instant aNow) const;
 
+  /** Rises with each change that concerns the lists of VMs for relays. */
+  std::uint64_t mVersion = 1;
   std::map<vm_name, entry> mEntries;
 };
 
--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -29,6 +29,11 @@
  * deadline that the request carries is then too late by as much.
  */
 constexpr microseconds kMaxSendDelay{ 400'000 };
+/**
+ * Failed connections to backend servers from which a request goes to another entry VM. A single
+ * failed backend server is common; each further one costs the caller a round trip.
+ */
+constexpr int kMaxUnreached = 2;
 /** Maximum number of crashes kept for the next report. */
 constexpr std::size_t kMaxCrashNotices = 200;
 
@@ -83,6 +88,7 @@
 entry_steering::entry_steering(entry_steering_settings aSettings)
   : mSettings(std::move(aSettings))
   , mPool(mSettings.mLocation.mZone, mSettings.mRegions)
+  , mRelays(mSettings.mLocation.mRegion)
   , mRetries(mSettings.mRetriesPerRequest, mSettings.mRetryReserve)
 {
 }
@@ -110,7 +116,9 @@
 std::variant<admission_ticket, refusal> entry_steering::Admit(const request_info& aRequest,
                                                               instant aNow)
 {
-  if (!mConfig) {
+  const bool isOlder =
+    mConfig && aRequest.mRelayed && mConfig->GetConfig().mVersion < aRequest.mRelayed->mConfig;
+  if (!mConfig || isOlder) {
     return refusal{ refusal_reason::NoConfig, {}, kControlRetryAfter };
   }
   const route_rule* route = mConfig->FindRoute(aRequest.mHost, aRequest.mPath);
@@ -145,7 +153,8 @@
   if (!mQuarantined.empty() && mQuarantined.contains(aRequest.mFingerprint(ticket.mWorkspace))) {
     return refusal{ refusal_reason::Quarantined, ticket.mWorkspace };
   }
-  if (workspace != nullptr && workspace->mRate > 0 && !ticket.mWorkspace.IsEmpty()) {
+  const bool isCounted = aRequest.mRelayed && aRequest.mRelayed->mIsMetered;
+  if (workspace != nullptr && workspace->mRate > 0 && !ticket.mWorkspace.IsEmpty() && !isCounted) {
     if (!mMeter.TrySpend(workspace->mName, aNow)) {
       return refusal{ refusal_reason::RateExceeded, workspace->mName, kRateRetryAfter };
     }
@@ -157,7 +166,13 @@
   if (aRequest.mAffinityKey != nullptr) {
     ticket.mPlacement.mAffinityKey = *aRequest.mAffinityKey;
   }
-  mRetries.RecordRequest(ticket.mPlacement.mService);
+  if (aRequest.mRelayed) {
+    ticket.mIsRelayed = true;
+    ticket.mAttempts = aRequest.mRelayed->mAttempts;
+  } else {
+    // The first VM counts a request that it sends on, so that it earns one retry only once.
+    mRetries.RecordRequest(ticket.mPlacement.mService);
+  }
   return ticket;
 }
 
@@ -175,7 +190,8 @@
   return refused;
 }
 
-std::variant<placement, refusal> entry_steering::Place(admission_ticket& aTicket, instant aNow)
+std::variant<placement, relay_target, refusal> entry_steering::Place(admission_ticket& aTicket,
+                                                                     instant aNow)
 {
   if (aNow >= aTicket.mDeadline) {
     return Refuse(aTicket, refusal_reason::NoTime);
@@ -183,8 +199,20 @@
   if (aTicket.mNeedsKey && aNow >= mFreshUntil) {
     return Refuse(aTicket, refusal_reason::NotFresh);
   }
+  const bool isCutOff = mReach.GetReach(aTicket.mPlacement.mService) == reach::CutOff;
+  if (isCutOff || aTicket.mUnreached >= kMaxUnreached) {
+    if (const std::optional<relay_target> relay = ChooseRelay(aTicket, aNow)) {
+      return *relay;
+    }
+  }
+  aTicket.mPlacement.mAvoidsUnreachable = isCutOff;
   std::optional<placement> chosen = mPool.Choose(aTicket.mPlacement, aNow);
   if (!chosen) {
+    if (mPool.HasUnreachable(aTicket.mPlacement, aNow)) {
+      if (const std::optional<relay_target> relay = ChooseRelay(aTicket, aNow)) {
+        return *relay;
+      }
+    }
     refusal refused = Refuse(aTicket, refusal_reason::NoBackend);
     if (const std::optional<instant> end = mPool.FindBackoffEnd(aTicket.mPlacement, aNow)) {
       refused.mRetryAfter = std::max(refused.mRetryAfter, *end - aNow);
@@ -263,6 +291,9 @@
   if (aOutcome == attempt_outcome::Abandoned || aOutcome == attempt_outcome::TimedOut) {
     return next_step::Fail;
   }
+  if (aOutcome == attempt_outcome::NotSent || aOutcome == attempt_outcome::Lost) {
+    RecordUnreached(aTicket, aPlacement, aNow);
+  }
   const bool wasSent =
     aOutcome != attempt_outcome::NotSent && aOutcome != attempt_outcome::Withheld;
   const bool hasNotRun = !wasSent || aOutcome == attempt_outcome::NotExecuted ||
@@ -283,9 +314,13 @@
   return aTicket.mMayHaveRun ? next_step::Fail : next_step::Refuse;
 }
 
-void entry_steering::RecordCrash(const digest& aFingerprint, const std::string& aBackend)
+void entry_steering::RecordCrash(const digest& aFingerprint,
+                                 const std::string& aBackend,
+                                 const service_name& aService)
 {
-  if (mCrashes.size() < kMaxCrashNotices) {
+  // A VM that does not reach a service cannot tell a crash from its own lost connections.
+  const bool isReachable = mReach.GetReach(aService) == reach::Reachable;
+  if (isReachable && mCrashes.size() < kMaxCrashNotices) {
     mCrashes.push_back({ aFingerprint, aBackend });
   }
 }
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -4,8 +4,10 @@
 #include "citronpulley/base/digest.h"
 #include "citronpulley/fleet/backend_status.h"
 #include "citronpulley/fleet/fleet_message.h"
+#include "citronpulley/fleet/relay_pool.h"
 #include "citronpulley/limits/retry_budget.h"
 #include "citronpulley/steering/backend_pool.h"
+#include "citronpulley/steering/reach_monitor.h"
 #include "citronpulley/steering/route_index.h"
 #include "citronpulley/steering/run_time_estimate.h"
 #include "citronpulley/steering/workspace_meter.h"
@@ -42,6 +44,19 @@
   double mRetryReserve = 2;
 };
 
+/** What the first entry VM did with a request that it sends on to another one. */
+struct relayed_request
+{
+  /** Backend servers to which the request may have been sent. */
+  int mAttempts = 0;
+  /** A rate token of the workspace was spent. */
+  bool mIsMetered = false;
+  /** Configuration at the first VM; the request must not be handled with an older one. */
+  config_version mConfig = 0;
+
+  friend auto operator<=>(const relayed_request&, const relayed_request&) = default;
+};
+
 /** Attributes of a request that Admit() needs. */
 struct request_info
 {
@@ -51,6 +66,8 @@
   const std::string* mAffinityKey = nullptr;
   /** Timeout that the caller requested, if any. */
   std::optional<microseconds> mCallerTimeout;
+  /** Set for a request that another entry VM sends on. */
+  std::optional<relayed_request> mRelayed;
   /**
    * Computes the fingerprint of the request; called only while at least one request is quarantined.
    */
@@ -74,6 +91,12 @@
   int mAttempts = 0;
   /** True once an attempt ended without proof that the request did not run. */
   bool mMayHaveRun = false;
+  /** Another entry VM sent the request on; it goes to a backend server or nowhere. */
+  bool mIsRelayed = false;
+  /** Failed connections to backend servers for this request. */
+  int mUnreached = 0;
+  /** Entry VMs to which the request was sent on. */
+  std::vector<vm_name> mRelays;
 };
 
 /** Reason for which this VM refuses a request. */
@@ -125,6 +148,42 @@
   std::optional<overload_inputs> mOverload{};
 };
 
+/** Entry VM that is to send the request to a backend server. */
+struct relay_target
+{
+  vm_name mVm;
+};
+
+/** How a request that was sent on to another entry VM ended. */
+enum class relay_outcome : std::uint8_t
+{
+  /** The response of a backend server. */
+  Answered,
+  /** Not run, and no other VM would decide otherwise. */
+  Refused,
+  /** Not run, because of the state of the other VM. */
+  Declined,
+  /** The other VM has no response; the request may have run. */
+  Failed,
+  /** The other VM could not be reached; nothing was sent. */
+  NotSent,
+  /** The connection to the other VM ended; the request may have run. */
+  Lost,
+  /** The caller left, or its timeout ended. */
+  Abandoned,
+};
+
+/** @return name of the outcome in logs and on the wire */
+std::string_view ToString(relay_outcome aOutcome) noexcept;
+
+/** Backend server to probe, to find out whether its service can be reached. */
+struct reach_probe
+{
+  service_name mService;
+  std::string mBackend;
+  server_name mAddress;
+};
+
 /** Action that follows the end of an attempt. */
 enum class next_step : std::uint8_t
 {
@@ -180,12 +239,13 @@
   std::variant<admission_ticket, refusal> Admit(const request_info& aRequest, instant aNow);
 
   /**
-   * Chooses a backend server for the next attempt of an admitted request. A refusal refunds the
-   * rate token if no attempt has counted yet; failed connections do not count.
+   * Chooses a backend server for the next attempt of an admitted request, or another entry VM while
+   * this one does not reach the backend servers. A refusal refunds the rate token if no attempt has
+   * counted yet; failed connections do not count.
    *
-   * @return the chosen backend server, or the refusal
+   * @return the chosen backend server or entry VM, or the refusal
    */
-  std::variant<placement, refusal> Place(admission_ticket& aTicket, instant aNow);
+  std::variant<placement, relay_target, refusal> Place(admission_ticket& aTicket, instant aNow);
 
   /** Refuses an admitted request; refunds the rate token as Place() does. */
   refusal Refuse(admission_ticket& aTicket, refusal_reason aReason);
@@ -208,6 +268,35 @@
                instant aPlacedAt,
                instant aNow) const;
 
+  /** The same for a request that goes to another entry VM. */
+  bool MayRelay(const admission_ticket& aTicket, instant aPlacedAt, instant aNow) const;
+
+  /** Records that a request is being sent to the chosen entry VM. */
+  void RecordRelayed(admission_ticket& aTicket, const relay_target& aTarget);
+
+  /** Records the end of a request that was sent to another entry VM and decides what follows. */
+  next_step HandleRelayEnd(admission_ticket& aTicket,
+                           const relay_target& aTarget,
+                           relay_outcome aOutcome,
+                           instant aNow);
+
+  /** @return backend servers to probe now; RecordProbe() must follow for each */
+  std::vector<reach_probe> ListProbes(instant aNow);
+
+  void RecordProbe(const reach_probe& aProbe, bool aIsReachable, instant aNow)
+  {
+    mReach.RecordProbe(aProbe.mService, aProbe.mBackend, aIsReachable, aNow);
+  }
+
+  /** Removes and returns the changes of what this VM reaches since the last call. */
+  std::vector<reach_monitor::change> DrainReachChanges() { return mReach.DrainChanges(); }
+
+  /** @return number of services whose backend servers this VM does not reach */
+  std::size_t CountCutOff() const { return mReach.ListCutOff().size(); }
+
+  /** @return token that requests of other entry VMs show; 0 before the first update */
+  std::uint64_t GetRelayToken() const noexcept { return mRelayToken; }
+
   /** Records that a request is being sent to the chosen backend server. */
   void RecordSent(const placement& aPlacement, instant aNow);
 
@@ -239,7 +328,9 @@
   /**
    * Records a request that was running on a backend server when it crashed, for the next report.
    */
-  void RecordCrash(const digest& aFingerprint, const std::string& aBackend);
+  void RecordCrash(const digest& aFingerprint,
+                   const std::string& aBackend,
+                   const service_name& aService);
 
   /** Adjusts the spill to other regions; call it regularly. */
   void Tick(instant aNow) { mPool.AdaptSpill(aNow); }
@@ -269,6 +360,11 @@
                       std::vector<backend_record> aSnapshot,
                       instant aNow);
 
+  /** @return the VM to which the request is sent on, or nothing when none can help */
+  std::optional<relay_target> ChooseRelay(const admission_ticket& aTicket, instant aNow);
+  /** Records that a connection to a backend server failed. */
+  void RecordUnreached(admission_ticket& aTicket, const placement& aPlacement, instant aNow);
+
   void AddLimits(entry_report& aReport, instant aNow);
   /** @param aChanges decoded changes of the update */
   void UpdateStatuses(const entry_update& aUpdate,
@@ -282,6 +378,9 @@
   /** The next report asks for the whole configuration. */
   bool mNeedsWholeConfig = false;
   backend_pool mPool;
+  reach_monitor mReach;
+  relay_pool mRelays;
+  std::uint64_t mRelayToken = 0;
   workspace_meter mMeter;
   retry_budget mRetries;
   instant mFreshUntil;
--- a/src/citronpulley/fleet/entry_steering_updates.cpp
+++ b/src/citronpulley/fleet/entry_steering_updates.cpp
@@ -37,10 +37,17 @@
   }
   report.mCrashes = std::exchange(mCrashes, {});
   AddLimits(report, aNow);
+  report.mCutOff = mReach.ListCutOff();
+  report.mRelayDigest = mRelays.GetDigest();
   for (const backend_pool::observation& seen : mPool.DrainObservations()) {
     backend_observation observation;
     observation.mBackend = seen.mBackend;
     observation.mTally = seen.mTally;
+    const service_name* service = mPool.FindService(seen.mBackend);
+    if (service != nullptr && mReach.GetReach(*service) != reach::Reachable) {
+      // Failures of this VM's own connections say nothing about the backend server.
+      observation.mTally.mFailures = 0;
+    }
     if (seen.mLoad) {
       observation.mHasLoad = true;
       observation.mRequests = seen.mLoad->mRequests;
@@ -145,6 +152,10 @@
   mPool.SetWarmupRates(std::move(rates));
   UpdateStatuses(aUpdate, statuses.Get(), aNow);
   mQuarantined = { aUpdate.mQuarantined.begin(), aUpdate.mQuarantined.end() };
+  mRelayToken = aUpdate.mRelayToken;
+  if (aUpdate.mHasRelays) {
+    mRelays.SetVms(aUpdate.mRelays);
+  }
   return isNewConfig;
 }
 
--- a/src/citronpulley/fleet/fleet_control_reports.cpp
+++ b/src/citronpulley/fleet/fleet_control_reports.cpp
@@ -1,5 +1,7 @@
 #include "citronpulley/fleet/fleet_control.h"
 
+#include "citronpulley/steering/key_hash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -13,6 +15,12 @@
  */
 constexpr std::size_t kMaxSentDepartures = 200;
 
+/** @return the same number at all leaders of a group, and another one in another group */
+std::uint64_t ComputeRelayToken(std::uint64_t aGroup)
+{
+  return ComputeIdHash("relay " + std::to_string(aGroup)) | 1U;
+}
+
 } // namespace
 
 void fleet_control::RecordCrashes(const entry_report& aReport,
@@ -51,6 +59,16 @@
   }
 }
 
+void fleet_control::FillRelays(const entry_report& aReport, instant aNow, entry_update& aUpdate)
+{
+  aUpdate.mRelayToken = ComputeRelayToken(mGroup.GetMembership().mGroup);
+  const vm_name& vm = aReport.mLocation.mVm;
+  if (mEntries.GetRelayDigest(vm, aNow) != aReport.mRelayDigest) {
+    aUpdate.mHasRelays = true;
+    aUpdate.mRelays = mEntries.ListRelays(vm, aNow);
+  }
+}
+
 void fleet_control::HandleObservations(const entry_report& aReport, instant aNow)
 {
   for (const backend_observation& seen : aReport.mObservations) {
@@ -154,6 +172,7 @@
   }
   update.mGrants = mLedger.HandleReport(aReport, aNow);
   FillPermits(aReport, aNow, update);
+  FillRelays(aReport, aNow, update);
   for (const auto& [fingerprint, record] : mCrashes) {
     if (record.mBackends.size() >= kQuarantineCrashes) {
       update.mQuarantined.push_back(fingerprint);
--- a/src/citronpulley/fleet/fleet_message.cpp
+++ b/src/citronpulley/fleet/fleet_message.cpp
@@ -1,6 +1,7 @@
 #include "citronpulley/fleet/fleet_message.h"
 
 #include "citronpulley/base/compression.h"
+#include "citronpulley/steering/key_hash.h"
 #include "citronpulley/wire/codec.h"
 
 namespace citronpulley {
@@ -26,6 +27,11 @@
   return DecodeValue<std::vector<backend_record>>(encoded.Get());
 }
 
+std::uint64_t ComputeRelayDigest(const std::vector<relay_vm>& aVms)
+{
+  return ComputeIdHash(EncodeValue(aVms)) | 1U;
+}
+
 std::string EncodeFleetMessage(const fleet_message& aMessage)
 {
   return EncodeValue(aMessage);
--- a/src/citronpulley/fleet/fleet_message.h
+++ b/src/citronpulley/fleet/fleet_message.h
@@ -230,6 +230,26 @@
   }
 };
 
+/** Entry VM that another one can send requests to for backend servers that it does not reach. */
+struct relay_vm
+{
+  vm_name mVm;
+  region_name mRegion;
+  /** Services whose backend servers this VM does not reach either. */
+  std::vector<service_name> mCutOff;
+
+  friend auto operator<=>(const relay_vm&, const relay_vm&) = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mVm, mRegion, mCutOff);
+  }
+};
+
+/** @return digest of a list, never 0; equal lists have equal digests on all VMs */
+std::uint64_t ComputeRelayDigest(const std::vector<relay_vm>& aVms);
+
 /** Report of an entry VM to the leader, which answers with an entry_update. */
 struct entry_report
 {
@@ -248,6 +268,10 @@
   std::vector<crash_notice> mCrashes;
   std::vector<backend_observation> mObservations;
   std::vector<limit_report> mLimits;
+  /** Services whose backend servers the VM does not reach. */
+  std::vector<service_name> mCutOff;
+  /** Digest of the list of VMs for relays that the VM has; 0 for none. */
+  std::uint64_t mRelayDigest = 0;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
@@ -262,7 +286,9 @@
              mDemands,
              mCrashes,
              mObservations,
-             mLimits);
+             mLimits,
+             mCutOff,
+             mRelayDigest);
   }
 };
 
@@ -310,6 +336,11 @@
   std::vector<limit_share> mShares;
   /** Fingerprints of quarantined requests, which crash backend servers. */
   std::vector<digest> mQuarantined;
+  /** Proves to other entry VMs that a request comes from an entry VM of this deployment. */
+  std::uint64_t mRelayToken = 0;
+  /** True when `mRelays` replaces the list of VMs for relays that the VM has. */
+  bool mHasRelays = false;
+  std::vector<relay_vm> mRelays;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
@@ -335,7 +366,10 @@
              mIsWholeStatus,
              mStatuses,
              mShares,
-             mQuarantined);
+             mQuarantined,
+             mRelayToken,
+             mHasRelays,
+             mRelays);
   }
 };
 
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "citronpulley/gateway/clock.h"
 #include "citronpulley/gateway/guarded_run.h"
+#include "citronpulley/gateway/relay_fields.h"
 
 #include <algorithm>
 #include <charconv>
@@ -17,6 +18,9 @@
 /** Subtracted from the deadline sent to backend servers, so that they give up before this VM. */
 constexpr std::int64_t kDeadlineMarginMs = 5;
 
+/** Bytes that the fields of a relay add to the header of a request. */
+constexpr std::uint32_t kRelayFieldBytes = 256;
+
 /** Part of the VM's memory that requests and responses may take together. */
 constexpr std::size_t kMessageMemoryDivisor = 4;
 
@@ -77,12 +81,15 @@
   , mLog(mSettings.mName)
   , mSteering(mSettings.mSteering)
   , mConnector(mIo, mBudget, GetIp(mSettings.mSteering.mLocation.mVm.mValue))
+  , mRelayConnector(mIo, mBudget, GetIp(mSettings.mSteering.mLocation.mVm.mValue))
   , mCallerContext(std::make_shared<http_session_context>())
   , mCallerListener(mIo, mCallerContext)
   , mReadyListener(mIo,
                    std::make_shared<http_session_context>(http_session_context{
                      [] { return caller_limits{}; },
                      [this](const auto& aRequest) { HandleReadyCall(aRequest); } }))
+  , mRelayContext(std::make_shared<http_session_context>())
+  , mRelayListener(mIo, mRelayContext)
   , mMetricsListener(mIo, mMetrics.MakeSessionContext([this] { RefreshGauges(); }))
   , mBus(
       mIo,
@@ -102,7 +109,16 @@
     return mSteering.GetConfig() ? mSteering.GetConfig()->GetConfig().mLimits : caller_limits{};
   };
   mCallerContext->mBudget = mBudget;
-  mCallerContext->mOnRequest = [this](const auto& aRequest) { HandleRequest(aRequest); };
+  mCallerContext->mOnRequest = [this](const auto& aRequest) {
+    HandleRequest(aRequest, std::nullopt);
+  };
+  mRelayContext->mLimits = [this] {
+    caller_limits limits = mCallerContext->mLimits();
+    limits.mMaxHeaderBytes += kRelayFieldBytes;
+    return limits;
+  };
+  mRelayContext->mBudget = mBudget;
+  mRelayContext->mOnRequest = [this](const auto& aRequest) { HandleRelayedRequest(aRequest); };
 }
 
 status entry_gateway::Run()
@@ -113,6 +129,9 @@
   if (status opened = mReadyListener.Open(mSettings.mReadyAddress); !opened) {
     return opened;
   }
+  if (status opened = mRelayListener.Open(mSettings.mSteering.mLocation.mVm.mValue); !opened) {
+    return opened;
+  }
   if (!mSettings.mMetricsAddress.empty()) {
     if (status opened = mMetricsListener.Open(mSettings.mMetricsAddress); !opened) {
       return opened;
@@ -173,12 +192,15 @@
   }
   ExpireExchanges(now);
   mConnector.CheckTimeouts(now);
+  mRelayConnector.CheckTimeouts(now);
+  StartProbes(now);
   mSteering.Tick(now);
   mSubscription.Tick(!mStop, now);
   if (mNextHousekeepingAt <= now) {
     mNextHousekeepingAt = now + kIdleTick;
     mCallerListener.CheckTimeouts(now);
     mReadyListener.CheckTimeouts(now);
+    mRelayListener.CheckTimeouts(now);
     mMetricsListener.CheckTimeouts(now);
     mBus.CheckTimeouts(now);
     LogLoad(now);
@@ -188,7 +210,8 @@
   ScheduleTick();
 }
 
-void entry_gateway::HandleRequest(const std::shared_ptr<inbound_request>& aRequest)
+void entry_gateway::HandleRequest(const std::shared_ptr<inbound_request>& aRequest,
+                                  const std::optional<relayed_request>& aRelayed)
 {
   const instant now = GetBootTime();
   if (mBudget->IsShort()) {
@@ -203,6 +226,7 @@
   requestInfo.mAffinityKey = FindField(message.mFields, mHeaderNames.mAffinityKey);
   requestInfo.mCallerTimeout =
     ParseMilliseconds(FindField(message.mFields, mHeaderNames.mDeadline));
+  requestInfo.mRelayed = aRelayed;
   requestInfo.mFingerprint = [&](const workspace_name& aWorkspace) {
     return ComputeFingerprint(message, aWorkspace);
   };
@@ -226,7 +250,7 @@
 void entry_gateway::StartAttempt(const exchange_ptr& aExchange)
 {
   const instant now = GetBootTime();
-  std::variant<placement, refusal> placed =
+  std::variant<placement, relay_target, refusal> placed =
     MayTake(aExchange->mTicket, now)
       ? mSteering.Place(aExchange->mTicket, now)
       : mSteering.Refuse(aExchange->mTicket, refusal_reason::Stopping);
@@ -239,11 +263,23 @@
     RemoveExchange(aExchange);
     return;
   }
-  aExchange->mPlacement = std::move(std::get<placement>(placed));
-  aExchange->mAttemptStartedAt = now;
+  if (const auto* relay = std::get_if<relay_target>(&placed)) {
+    StartRelay(aExchange, *relay, now);
+    return;
+  }
+  StartAttemptAt(aExchange, std::move(std::get<placement>(placed)), now);
+}
+
+void entry_gateway::StartAttemptAt(const exchange_ptr& aExchange,
+                                   placement aPlacement,
+                                   instant aNow)
+{
+  aExchange->mRelay.reset();
+  aExchange->mPlacement = std::move(aPlacement);
+  aExchange->mAttemptStartedAt = aNow;
   aExchange->mIsAttemptRunning = true;
-  mSteering.RecordSent(aExchange->mPlacement, now);
-  channel_request channelRequest = MakeChannelRequest(*aExchange, now);
+  mSteering.RecordSent(aExchange->mPlacement, aNow);
+  channel_request channelRequest = MakeChannelRequest(*aExchange, aNow);
   channelRequest.mMaySend = [this, weak = std::weak_ptr(aExchange)] {
     const exchange_ptr open = weak.lock();
     return open != nullptr &&
@@ -258,7 +294,7 @@
                     });
 }
 
-channel_request entry_gateway::MakeChannelRequest(const exchange& aExchange, instant aNow) const
+http_fields entry_gateway::CopyCallerFields(const exchange& aExchange, instant aNow) const
 {
   const http_request& message = aExchange.mRequest->mMessage;
   http_fields fields;
@@ -267,7 +303,7 @@
                             IsSameName(field.mName, mHeaderNames.mDeadline) ||
                             IsSameName(field.mName, mHeaderNames.mWorkspace) ||
                             IsSameName(field.mName, mHeaderNames.mExpectedBackend) ||
-                            IsSameName(field.mName, "Expect");
+                            IsSameName(field.mName, "Expect") || IsRelayField(field.mName);
     if (!isReplaced && !IsHopByHopField(message.mFields, field.mName)) {
       fields.push_back(field);
     }
@@ -277,15 +313,28 @@
       .count();
   fields.push_back({ mHeaderNames.mDeadline,
                      std::to_string(std::max<std::int64_t>(1, remainingMs - kDeadlineMarginMs)) });
+  return fields;
+}
+
+channel_request entry_gateway::MakeChannelRequest(const exchange& aExchange, instant aNow) const
+{
+  http_fields fields = CopyCallerFields(aExchange, aNow);
   fields.push_back({ mHeaderNames.mExpectedBackend, aExchange.mPlacement.mBackend });
   if (!aExchange.mTicket.mWorkspace.IsEmpty()) {
     fields.push_back({ mHeaderNames.mWorkspace, aExchange.mTicket.mWorkspace.mValue });
   }
+  return EncodeChannelRequest(aExchange.mRequest->mMessage, fields);
+}
+
+channel_request entry_gateway::EncodeChannelRequest(const http_request& aMessage,
+                                                    const http_fields& aFields) const
+{
   channel_request channelRequest;
-  channelRequest.mEncoded = WriteRequest(message.mMethod, message.mTarget, fields, message.mBody);
-  channelRequest.mIsHead = message.mMethod == "HEAD";
+  channelRequest.mEncoded =
+    WriteRequest(aMessage.mMethod, aMessage.mTarget, aFields, aMessage.mBody);
+  channelRequest.mIsHead = aMessage.mMethod == "HEAD";
   channelRequest.mRequestIdName = mHeaderNames.mRequestId;
-  if (const std::string* id = FindField(message.mFields, mHeaderNames.mRequestId)) {
+  if (const std::string* id = FindField(aMessage.mFields, mHeaderNames.mRequestId)) {
     channelRequest.mRequestId = *id;
   }
   return channelRequest;
@@ -348,7 +397,7 @@
                                                     now);
   mMetrics.RecordAttempt(ToString(outcome), now - aExchange->mAttemptStartedAt);
   if (outcome != attempt_outcome::Answered) {
-    LogFailedAttempt(*aExchange, outcome, aResponse.mStatus, ToString(next), now);
+    LogFailedAttempt(*aExchange, ToString(outcome), aResponse.mStatus, ToString(next), now);
   }
   switch (next) {
     case next_step::ForwardResponse:
@@ -372,10 +421,11 @@
 {
   http_fields fields;
   for (http_field& field : aResponse.mFields) {
-    if (!IsHopByHopField(aResponse.mFields, field.mName)) {
+    if (!IsHopByHopField(aResponse.mFields, field.mName) && !IsRelayField(field.mName)) {
       fields.push_back(field);
     }
   }
+  AddRelayFields(*aExchange, fields);
   aResponse.mFields = std::move(fields);
   const instant now = GetBootTime();
   LogAnswer(*aExchange, aResponse.mStatus, aLoad, now);
@@ -395,6 +445,10 @@
   if (id != nullptr) {
     fields.push_back({ mHeaderNames.mRequestId, *id });
   }
+  if (aRequest->mIsRelayed) {
+    fields.push_back(
+      { std::string(kRelayField), std::string(ToString(GetRelayOutcome(aRefusal.mReason))) });
+  }
   const unsigned status = GetHttpStatus(aRefusal.mReason);
   if (status == 429 || status == 503) {
     fields.push_back({ std::string(kRetryAfterField), FormatSeconds(aRefusal.mRetryAfter) });
@@ -433,10 +487,16 @@
   aExchange.mIsAttemptRunning = false;
   aExchange.mCancelAttempt();
   const microseconds duration = aNow - aExchange.mAttemptStartedAt;
+  if (aExchange.mRelay) {
+    mSteering.HandleRelayEnd(aExchange.mTicket, *aExchange.mRelay, relay_outcome::Abandoned, aNow);
+    mMetrics.RecordAttempt("relay_" + std::string(ToString(aOutcome)), duration);
+    LogFailedAttempt(aExchange, ToString(aOutcome), 0, ToString(next_step::Fail), aNow);
+    return;
+  }
   mSteering.HandleAttemptEnd(
     aExchange.mTicket, aExchange.mPlacement, aOutcome, std::nullopt, duration, aNow);
   mMetrics.RecordAttempt(ToString(aOutcome), duration);
-  LogFailedAttempt(aExchange, aOutcome, 0, ToString(next_step::Fail), aNow);
+  LogFailedAttempt(aExchange, ToString(aOutcome), 0, ToString(next_step::Fail), aNow);
 }
 
 void entry_gateway::ExpireExchanges(instant aNow)
--- a/src/citronpulley/gateway/entry_gateway.h
+++ b/src/citronpulley/gateway/entry_gateway.h
@@ -73,6 +73,8 @@
     std::shared_ptr<inbound_request> mRequest;
     admission_ticket mTicket;
     placement mPlacement;
+    /** Entry VM of the current attempt; empty when it goes to a backend server. */
+    std::optional<relay_target> mRelay;
     /** Cancels the attempt in progress. */
     std::function<void()> mCancelAttempt;
     instant mAttemptStartedAt;
@@ -85,11 +87,28 @@
   struct crash_suspicion
   {
     placement mPlacement;
+    service_name mService;
     std::vector<digest> mFingerprints;
   };
 
-  void HandleRequest(const std::shared_ptr<inbound_request>& aRequest);
+  void HandleRequest(const std::shared_ptr<inbound_request>& aRequest,
+                     const std::optional<relayed_request>& aRelayed);
+  /** Handles a request at the internal port, where only entry VMs send some. */
+  void HandleRelayedRequest(const std::shared_ptr<inbound_request>& aRequest);
   void StartAttempt(const exchange_ptr& aExchange);
+  void StartAttemptAt(const exchange_ptr& aExchange, placement aPlacement, instant aNow);
+  /** Sends the request to another entry VM. */
+  void StartRelay(const exchange_ptr& aExchange, const relay_target& aTarget, instant aNow);
+  channel_request MakeRelayRequest(const exchange& aExchange, instant aNow) const;
+  void HandleRelayEnd(const exchange_ptr& aExchange, channel_end aEnd, http_response aResponse);
+  /** Adds to a response what the entry VM that sent the request on needs to know. */
+  void AddRelayFields(const exchange& aExchange, http_fields& aFields) const;
+  /** Starts the probes that find out which services this VM reaches, and logs changes. */
+  void StartProbes(instant aNow);
+  /** @return fields of the caller to send on, with the remaining time and without the key */
+  http_fields CopyCallerFields(const exchange& aExchange, instant aNow) const;
+  channel_request EncodeChannelRequest(const http_request& aMessage,
+                                       const http_fields& aFields) const;
   channel_request MakeChannelRequest(const exchange& aExchange, instant aNow) const;
   void HandleAttemptEnd(const exchange_ptr& aExchange, channel_end aEnd, http_response aResponse);
   attempt_outcome Classify(channel_end aEnd, const http_response& aResponse) const;
@@ -129,7 +148,7 @@
                  const std::optional<load_report>& aLoad,
                  instant aNow);
   void LogFailedAttempt(const exchange& aExchange,
-                        attempt_outcome aOutcome,
+                        std::string_view aOutcome,
                         unsigned aStatus,
                         std::string_view aNext,
                         instant aNow);
@@ -157,9 +176,13 @@
   event_log mLog;
   entry_steering mSteering;
   backend_connector mConnector;
+  /** Connections to other entry VMs. */
+  backend_connector mRelayConnector;
   std::shared_ptr<http_session_context> mCallerContext;
   http_listener mCallerListener;
   http_listener mReadyListener;
+  std::shared_ptr<http_session_context> mRelayContext;
+  http_listener mRelayListener;
   gateway_metrics mMetrics;
   http_listener mMetricsListener;
   fleet_bus mBus;
--- a/src/citronpulley/gateway/entry_gateway_reporting.cpp
+++ b/src/citronpulley/gateway/entry_gateway_reporting.cpp
@@ -160,6 +160,7 @@
         { "affinity", aExchange.mTicket.mPlacement.mAffinityKey.value_or("") },
         { "backend", aExchange.mPlacement.mBackend },
         { "zone", aExchange.mPlacement.mZone.mValue },
+        { "relay", aExchange.mRelay ? aExchange.mRelay->mVm.mValue : std::string() },
         { "status", static_cast<int>(aStatus) },
         { "expected_wait_us",
           static_cast<std::int64_t>(aExchange.mPlacement.mExpectedWait.count()) },
@@ -173,7 +174,7 @@
 }
 
 void entry_gateway::LogFailedAttempt(const exchange& aExchange,
-                                     attempt_outcome aOutcome,
+                                     std::string_view aOutcome,
                                      unsigned aStatus,
                                      std::string_view aNext,
                                      instant aNow)
@@ -188,7 +189,8 @@
       { "backend", aExchange.mPlacement.mBackend },
       { "address", aExchange.mPlacement.mAddress.mValue },
       { "zone", aExchange.mPlacement.mZone.mValue },
-      { "outcome", ToString(aOutcome) },
+      { "relay", aExchange.mRelay ? aExchange.mRelay->mVm.mValue : std::string() },
+      { "outcome", aOutcome },
       { "status", static_cast<int>(aStatus) },
       { "expected_wait_us", static_cast<std::int64_t>(aExchange.mPlacement.mExpectedWait.count()) },
       { "took_us", static_cast<std::int64_t>((aNow - aExchange.mAttemptStartedAt).count()) },
@@ -234,6 +236,7 @@
                     static_cast<double>(mSteering.GetPool().CountBackoffs(now)));
   mMetrics.SetGauge("backend_servers_limited",
                     static_cast<double>(mSteering.GetPool().CountLimits()));
+  mMetrics.SetGauge("services_cut_off", static_cast<double>(mSteering.CountCutOff()));
   mMetrics.SetGauge("frames_refused", static_cast<double>(mBus.CountRefused()));
   mMetrics.SetGauge("log_lines_left_out", static_cast<double>(mLog.CountDroppedLines()));
 }
@@ -248,6 +251,7 @@
     return;
   }
   suspicion.mPlacement = aExchange.mPlacement;
+  suspicion.mService = aExchange.mTicket.mPlacement.mService;
   // A lost connection alone does not prove a crash; it counts as one only if the backend server
   // cannot be reached any more.
   mConnector.Probe(
@@ -260,7 +264,7 @@
       const placement& placed = found.mapped().mPlacement;
       const std::string start = placed.mBackend + "/" + std::to_string(placed.mStartedAtMs);
       for (const digest& requestFingerprint : found.mapped().mFingerprints) {
-        mSteering.RecordCrash(requestFingerprint, start);
+        mSteering.RecordCrash(requestFingerprint, start, found.mapped().mService);
       }
       mLog.Write(
         "backend_crashed",
--- a/src/citronpulley/gateway/entry_gateway_stop.cpp
+++ b/src/citronpulley/gateway/entry_gateway_stop.cpp
@@ -10,6 +10,7 @@
   mLog.Write(
     "stopping", { { "open_requests", static_cast<std::uint64_t>(mExchanges.size()) } }, now);
   mCallerListener.StartStopping();
+  mRelayListener.StartStopping();
   mSubscription.ScheduleReportNow();
 }
 
@@ -38,7 +39,9 @@
   if (mStop->MustAnswerAll(aNow)) {
     AnswerAll(aNow);
   }
-  if (mStop->IsOver(mExchanges.empty() && mCallerListener.CountBusySessions() == 0, aNow)) {
+  if (mStop->IsOver(mExchanges.empty() && mCallerListener.CountBusySessions() == 0 &&
+                      mRelayListener.CountBusySessions() == 0,
+                    aNow)) {
     mIo.stop();
   }
 }
--- a/src/citronpulley/gateway/http_session.h
+++ b/src/citronpulley/gateway/http_session.h
@@ -44,6 +44,8 @@
 
   http_request mMessage;
   instant mReceivedAt;
+  /** Another entry VM sends the request on. */
+  bool mIsRelayed = false;
   /** Name of the call in the metrics. */
   std::string_view mCallName = "unknown";
   /** Called once if the caller disconnects before the response. */
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -252,6 +252,9 @@
       std::ranges::find(aRequest.mExcluded, record.mId) != aRequest.mExcluded.end()) {
     return false;
   }
+  if (aRequest.mAvoidsUnreachable && aBackend.mConsecutiveFailures > 0) {
+    return false;
+  }
   if (aNow < aBackend.mEjectedUntil || (aBackend.mConsecutiveFailures > 0 && aBackend.mIsProbing)) {
     return false;
   }
--- a/src/citronpulley/steering/backend_pool.h
+++ b/src/citronpulley/steering/backend_pool.h
@@ -7,6 +7,7 @@
 #include "citronpulley/steering/load_report.h"
 #include "citronpulley/steering/outcome_tally.h"
 #include "citronpulley/steering/rate_share.h"
+#include "citronpulley/steering/reach_monitor.h"
 
 #include <cstdint>
 #include <map>
@@ -62,6 +63,11 @@
   /** Backend servers to which this request was already sent. */
   std::vector<std::string> mExcluded;
   bool mIsIdempotent = false;
+  /**
+   * Leaves out backend servers whose last connection failed. Set while this VM is cut off from the
+   * service: probes find out when they can be reached, and requests need not wait for them.
+   */
+  bool mAvoidsUnreachable = false;
 };
 
 /** Backend server chosen for a request. */
@@ -254,6 +260,20 @@
    */
   void AdaptSpill(instant aNow);
 
+  /** @return backend servers of a service that accept requests, with their zones */
+  std::vector<reach_monitor::candidate> ListAccepting(const service_name& aService) const;
+
+  /** @return address of a backend server, or null when it is not known */
+  const server_name* FindAddress(const std::string& aBackend) const;
+
+  /** @return service of a backend server, or null when it is not known */
+  const service_name* FindService(const std::string& aBackend) const;
+
+  /**
+   * @return true when a backend server could run the request, but connections to it failed lately
+   */
+  bool HasUnreachable(const placement_request& aRequest, instant aNow) const;
+
   std::size_t GetCount() const noexcept { return mBackends.size(); }
 
   /** @return number of backend servers that state a limit */
