--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -138,6 +138,59 @@
     R"({"Service":"s1","Address":"a","Zone":"a","Slots":9,"State":"ready","Seq":4,"born":1.5})")));
 }
 
+/**
+ * Guards against entries of another writer that make the entry VMs that read them fail, or send
+ * requests to addresses that do not exist.
+ */
+TEST(platform_dialect, rejects_announcements_of_another_writer_that_name_no_backend_server)
+{
+  const std::string nested(10'000, '[');
+  const std::string whole =
+    R"({"Service":"stock","Address":"10.2.0.1:80","Zone":"a","Slots":4,"State":"ready","Seq":1,"X":0})";
+  const auto isAccepted = [&](const std::string& aFrom, const std::string& aTo) {
+    std::string body = whole;
+    body.replace(body.find(aFrom), aFrom.size(), aTo);
+    const control_call call =
+      mDialect.ParseCall({ "POST", "/-/instances/i-1/heartbeat", {}, body });
+    return static_cast<bool>(std::get<announcement_call>(call).mRecord);
+  };
+  CHECK(isAccepted("\"X\":0", "\"X\":0"));
+  CHECK_FALSE(isAccepted("\"X\":0", "\"X\":" + nested));
+  CHECK_FALSE(isAccepted("\"X\":0", "\"X\":" + nested + std::string(10'000, ']')));
+  for (const char* address : { "10.2.0.1:65536",
+                               "10.2.0.1:0",
+                               "10.2.0.1:-1",
+                               "10.2.0.1",
+                               "host:80",
+                               "10.2.0.256:80",
+                               "10.2.0.1:80x",
+                               "10.2.0.1:99999999999999999999" }) {
+    CHECK_FALSE(isAccepted("10.2.0.1:80", address));
+  }
+  for (const char* number : { "1e400", "99999999999999999999", "4.5", "-1", "1000001" }) {
+    CHECK_FALSE(isAccepted("\"Slots\":4", std::string("\"Slots\":") + number));
+  }
+  CHECK_FALSE(isAccepted("\"Seq\":1", "\"Seq\":99999999999999999999"));
+  CHECK_FALSE(isAccepted("\"Seq\":1", "\"Seq\":-1"));
+  CHECK_FALSE(isAccepted("\"X\":0", "\"born\":1e300"));
+  CHECK_FALSE(isAccepted("\"X\":0", "\"born\":-5"));
+  CHECK_FALSE(isAccepted("\"X\":0", "\"WarmupLeft\":\"1e300s\""));
+  CHECK_FALSE(isAccepted("\"X\":0", "\"WarmupLeft\":\"999999999s\""));
+  CHECK_FALSE(isAccepted("stock", std::string(5'000, 's')));
+}
+
+/** Guards against numbers of a configuration that no integer holds. */
+TEST(platform_dialect, rejects_numbers_that_are_out_of_range)
+{
+  for (const char* number : { "1e300", "-1e300", "3000000000" }) {
+    std::string text = kConfigText;
+    const std::string name = "\"MaxAttempts\":2";
+    CHECK(text.find(name) != std::string::npos);
+    text.replace(text.find(name), name.size(), std::string("\"MaxAttempts\":") + number);
+    CHECK_FALSE(static_cast<bool>(mDialect.ParseConfig(text)));
+  }
+}
+
 /** Guards against paths that map to the wrong call, and an empty instance id that is accepted. */
 TEST(platform_dialect, recognises_each_call)
 {
