Test changes after disks that were full one after the other

Reported by operators of similar systems: the disks of counted machines were full for a few seconds each, one after another; long after the last had room again, changes were refused or stayed unanswered. It cannot happen here since members continue after a full disk; the test passes without a change of the code.

--- a/tests/fleet/control_recovery_test.cpp
+++ b/tests/fleet/control_recovery_test.cpp
@@ -1,6 +1,9 @@
 #include "fleet/control_cluster.h"
 
 #include <CppUTest/TestHarness.h>
+#include <cstdint>
+#include <optional>
+#include <random>
 
 using namespace citronpulley;
 
@@ -125,3 +128,39 @@
   }
   CHECK(IsConfigAcceptedWithin(kSecond));
 }
+
+/**
+ * Guards against a group that refuses or does not answer changes long after the last of several
+ * disks, which were full one after the other, has room again.
+ */
+TEST(control_recovery, changes_are_accepted_after_disks_that_were_full_in_turn)
+{
+  for (unsigned seed = 1; seed <= 12; ++seed) {
+    std::mt19937 random(seed);
+    control_cluster cluster(6);
+    cluster.Run(5 * kSecond);
+    for (int round = 0; round < 8; ++round) {
+      // Every other time it is the leader's disk.
+      const std::optional<std::size_t> leader = cluster.FindLeader();
+      const std::size_t full = round % 2 == 0 && leader ? *leader : random() % 6;
+      cluster.GetDisk(full).SetFull(true);
+      for (unsigned i = 0; i < 4 + random() % 6; ++i) {
+        cluster.PutConfig(microseconds(500'000));
+      }
+      cluster.GetDisk(full).SetFull(false);
+      cluster.Run(microseconds(static_cast<std::int64_t>(random() % 1'500'000)));
+    }
+    cluster.Run(4 * kSecond);
+    for (int i = 0; i < 5; ++i) {
+      CHECK(cluster.PutConfig(kSecond));
+    }
+    // All members take part again, so the loss of a disk is borne.
+    LONGS_EQUAL(5, cluster.Get(*cluster.FindLeader()).GetGroup().GetMembership().CountVoters());
+    const std::size_t lost = random() % 6;
+    cluster.LoseDisk(lost);
+    cluster.Run(kSecond);
+    cluster.Start(lost);
+    cluster.Run(4 * kSecond);
+    CHECK(cluster.PutConfig(kSecond));
+  }
+}
