Send nothing to a backend server whose responses say that it leaves

A departure was known from announcements by way of the control VMs only, so a VM without contact to them went on sending (DRAIN).

Announcements of the same start and lists that leave it out for a moment do not undo it; a new start begins clean. Other values are logged and change nothing.

Not done: telling the others through the leader. Each VM hears it with its own next answer, and the announcement travels as before.

--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -306,6 +306,12 @@
     mPool.RecordLimit(aPlacement.mBackend, aPlacement.mStartedAtMs, aNotice, aNow);
   }
 
+  /** Records that a response of a backend server said that it leaves. */
+  void RecordLeaving(const placement& aPlacement)
+  {
+    mPool.RecordLeaving(aPlacement.mBackend, aPlacement.mStartedAtMs);
+  }
+
   /** Records that a backend server asked this VM to send nothing until a time. */
   void RecordBackoff(const placement& aPlacement, instant aUntil)
   {
--- a/src/citronpulley/gateway/entry_gateway_reporting.cpp
+++ b/src/citronpulley/gateway/entry_gateway_reporting.cpp
@@ -6,6 +6,17 @@
 
 namespace citronpulley {
 
+namespace {
+
+/** @return true when the response came from the backend server that the request was sent to */
+bool IsOwnAnswer(attempt_outcome aOutcome) noexcept
+{
+  return aOutcome == attempt_outcome::Answered || aOutcome == attempt_outcome::Failed ||
+         aOutcome == attempt_outcome::NotExecuted;
+}
+
+} // namespace
+
 void entry_gateway::HandleReadyCall(const std::shared_ptr<inbound_request>& aRequest)
 {
   const control_call call = mDialect->ParseCall(aRequest->mMessage);
@@ -65,12 +76,9 @@
                                       const http_response& aResponse,
                                       instant aNow)
 {
-  const bool isOwnAnswer = aOutcome == attempt_outcome::Answered ||
-                           aOutcome == attempt_outcome::Failed ||
-                           aOutcome == attempt_outcome::NotExecuted;
   const std::vector<std::string_view> values =
     FindAllFields(aResponse.mFields, mHeaderNames.mLimit);
-  if (!isOwnAnswer) {
+  if (!IsOwnAnswer(aOutcome)) {
     return limit_unknown{};
   }
   if (values.empty()) {
@@ -115,6 +123,19 @@
                                      instant aNow)
 {
   const placement& placed = aExchange.mPlacement;
+  const std::string* leaving =
+    IsOwnAnswer(aOutcome) ? FindField(aResponse.mFields, mHeaderNames.mLeaving) : nullptr;
+  if (leaving != nullptr && *leaving == "1") {
+    mSteering.RecordLeaving(placed);
+    if (mLog.TryReserveLine(event_class::Failure, aNow)) {
+      mLog.Write("backend_states_leaving",
+                 { { "backend", placed.mBackend },
+                   { "request", GetRequestId(aExchange.mRequest->mMessage) } },
+                 aNow);
+    }
+  } else if (leaving != nullptr && *leaving != "0") {
+    RecordUnreadable(aExchange, "leaving_unreadable", { *leaving }, aNow);
+  }
   mSteering.RecordLimit(placed, ReadLimit(aExchange, aOutcome, aResponse, aNow), aNow);
   const std::optional<instant> backoffUntil = ReadBackoff(aExchange, aOutcome, aResponse, aNow);
   if (!backoffUntil) {
--- a/src/citronpulley/gateway/wire_dialect.h
+++ b/src/citronpulley/gateway/wire_dialect.h
@@ -34,6 +34,8 @@
   std::string mLoad;
   /** Requests per second that the backend server takes from all VMs together. */
   std::string mLimit;
+  /** Present with the value 1 in each response of a backend server that leaves. */
+  std::string mLeaving;
   /** Present in a response when the backend server did not execute the request. */
   std::string mNotExecuted;
 };
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -133,6 +133,7 @@
     mServices[aRecord.mService].mBackends.push_back(aRecord.mId);
   }
   backend.mRecord = aRecord;
+  backend.mRecord.mIsLeaving = aRecord.mIsLeaving || backend.mHasStatedLeaving;
   const auto region = mRegions.find(aRecord.mZone);
   backend.mRegion = region == mRegions.end() ? region_name{} : region->second;
   backend.mColdUntil = aNow + microseconds(aRecord.mColdForMs * 1'000);
@@ -145,10 +146,14 @@
 {
   RemoveFromService(aBackend);
   mIdsByHash.erase(ComputeIdHash(aBackend.mRecord.mId));
-  const bool hasStatements = aBackend.mShare || aBackend.mBackoffUntil > instant{};
+  const bool hasStatements =
+    aBackend.mShare || aBackend.mBackoffUntil > instant{} || aBackend.mHasStatedLeaving;
   if (hasStatements && mRemovedStatements.size() < kMaxRemovedStatements) {
     removed_statements& removed = mRemovedStatements[aBackend.mRecord.mId];
-    removed = { aBackend.mRecord.mStartedAtMs, std::nullopt, aBackend.mBackoffUntil };
+    removed = { aBackend.mRecord.mStartedAtMs,
+                std::nullopt,
+                aBackend.mBackoffUntil,
+                aBackend.mHasStatedLeaving };
     if (aBackend.mShare) {
       removed.mLimit = aBackend.mShare->GetLimit();
     }
--- a/src/citronpulley/steering/backend_pool.h
+++ b/src/citronpulley/steering/backend_pool.h
@@ -185,6 +185,12 @@
    */
   void RecordBackoff(const std::string& aBackend, std::int64_t aStartedAtMs, instant aUntil);
 
+  /**
+   * Records that a response of a backend server said that it leaves. Announcements of the same
+   * process start that were sent earlier do not undo it.
+   */
+  void RecordLeaving(const std::string& aBackend, std::int64_t aStartedAtMs);
+
   /**
    * @return the time at which the first backend server takes requests again, when all that could
    * run such a request asked this VM for a pause; nothing otherwise
@@ -316,6 +322,8 @@
     std::uint64_t mNoticeReport = 0;
     /** Time before which it takes nothing from this VM. */
     instant mBackoffUntil;
+    /** A response to this VM said that it leaves. */
+    bool mHasStatedLeaving = false;
   };
 
   struct service
@@ -398,6 +406,7 @@
     std::int64_t mStartedAtMs = 0;
     std::optional<double> mLimit;
     instant mBackoffUntil;
+    bool mHasStatedLeaving = false;
   };
 
   /** By identity. A new leader may leave out a backend server for a moment. */
--- a/src/citronpulley/steering/backend_pool_limits.cpp
+++ b/src/citronpulley/steering/backend_pool_statements.cpp
@@ -32,6 +32,8 @@
   }
   const removed_statements& removed = found.mapped();
   aBackend.mBackoffUntil = removed.mBackoffUntil;
+  aBackend.mHasStatedLeaving = removed.mHasStatedLeaving;
+  aBackend.mRecord.mIsLeaving = aBackend.mRecord.mIsLeaving || removed.mHasStatedLeaving;
   if (removed.mLimit) {
     aBackend.mShare.emplace(*removed.mLimit, aNow);
     aBackend.mNotice = limit_rate{ *removed.mLimit };
@@ -49,6 +51,15 @@
   }
 }
 
+void backend_pool::RecordLeaving(const std::string& aBackend, std::int64_t aStartedAtMs)
+{
+  const auto found = mBackends.find(aBackend);
+  if (found != mBackends.end() && found->second.mRecord.mStartedAtMs == aStartedAtMs) {
+    found->second.mHasStatedLeaving = true;
+    found->second.mRecord.mIsLeaving = true;
+  }
+}
+
 std::optional<instant> backend_pool::FindBackoffEnd(const placement_request& aRequest,
                                                     instant aNow) const
 {
