Keep a pause when the news of the process that asked for it come late

Cause: a server was started again at its identity and address and asked for a pause before this VM had its first announcement. The pause was recorded for the start that the VM knew, and dropped when the announcement of the new start came. Class of fault: two sources of news about one peer that arrive in another order than they were said.

Change: a pause that is younger than a late announcement and a report (5 s) outlives the change of the start. An older one ends with the process, as before.

Ruled out: responses that never reached the VM.

--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -313,9 +313,9 @@
   }
 
   /** Records that a backend server asked this VM to send nothing until a time. */
-  void RecordBackoff(const placement& aPlacement, instant aUntil)
+  void RecordBackoff(const placement& aPlacement, instant aNow, instant aUntil)
   {
-    mPool.RecordBackoff(aPlacement.mBackend, aPlacement.mStartedAtMs, aUntil);
+    mPool.RecordBackoff(aPlacement.mBackend, aPlacement.mStartedAtMs, aNow, aUntil);
   }
 
   /**
--- a/src/citronpulley/gateway/entry_gateway_reporting.cpp
+++ b/src/citronpulley/gateway/entry_gateway_reporting.cpp
@@ -141,7 +141,7 @@
   if (!backoffUntil) {
     return;
   }
-  mSteering.RecordBackoff(placed, *backoffUntil);
+  mSteering.RecordBackoff(placed, aNow, *backoffUntil);
   if (mLog.TryReserveLine(event_class::Failure, aNow)) {
     mLog.Write("backend_backoff",
                { { "backend", placed.mBackend },
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -122,7 +122,13 @@
                  backend.mRecord.mService != aRecord.mService)) {
     RemoveFromService(backend);
     const double own = backend.mOwnRequests;
+    const instant backoffAt = backend.mBackoffAt;
+    const instant backoffUntil = backend.mBackoffUntil;
     backend = {};
+    if (aNow < backoffAt + kStartNewsDelay) {
+      backend.mBackoffAt = backoffAt;
+      backend.mBackoffUntil = backoffUntil;
+    }
     // Requests that were sent to the previous process still end one by one.
     backend.mOwnRequests = own;
   }
--- a/src/citronpulley/steering/backend_pool.h
+++ b/src/citronpulley/steering/backend_pool.h
@@ -95,6 +95,12 @@
 class backend_pool
 {
 public:
+  /**
+   * Time after which an entry VM knows of the start of a process at the same identity: a late
+   * announcement, and a report to the leader.
+   */
+  static constexpr microseconds kStartNewsDelay{ 5'000'000 };
+
   /**
    * @param aZone zone of this VM
    * @param aRegions region of each zone
@@ -181,9 +187,13 @@
 
   /**
    * Records that a backend server takes nothing from this VM until a time. An earlier statement
-   * that reaches further stays in force; a restart of the backend server ends both.
+   * that reaches further stays in force. A restart of the backend server ends both, unless the news
+   * of it come so soon that the new process may have made the statement.
    */
-  void RecordBackoff(const std::string& aBackend, std::int64_t aStartedAtMs, instant aUntil);
+  void RecordBackoff(const std::string& aBackend,
+                     std::int64_t aStartedAtMs,
+                     instant aNow,
+                     instant aUntil);
 
   /**
    * Records that a response of a backend server said that it leaves. Announcements of the same
@@ -322,6 +332,8 @@
     std::uint64_t mNoticeReport = 0;
     /** Time before which it takes nothing from this VM. */
     instant mBackoffUntil;
+    /** Time of the latest response that said so. */
+    instant mBackoffAt;
     /** A response to this VM said that it leaves. */
     bool mHasStatedLeaving = false;
   };
--- a/src/citronpulley/steering/backend_pool_statements.cpp
+++ b/src/citronpulley/steering/backend_pool_statements.cpp
@@ -43,10 +43,12 @@
 
 void backend_pool::RecordBackoff(const std::string& aBackend,
                                  std::int64_t aStartedAtMs,
+                                 instant aNow,
                                  instant aUntil)
 {
   const auto found = mBackends.find(aBackend);
   if (found != mBackends.end() && found->second.mRecord.mStartedAtMs == aStartedAtMs) {
+    found->second.mBackoffAt = aNow;
     found->second.mBackoffUntil = std::max(found->second.mBackoffUntil, aUntil);
   }
 }
