Do not serve callers that left while their connection waited

Cause: idle connections of callers took all descriptors of an entry VM, so new ones waited in the kernel's queue, up to 2.2 s; accept failed without a log line and took one connection each 20 ms. When one was read at last, its request was handled before the end of the stream behind it was seen.

Change: before the first request of a connection is handled, and after a pause in reading, the session looks for the end of the stream and closes if the client has left. Above three quarters of the process's descriptors, and when accept fails, the longest idle connections are closed, none with a request. Failed accepts are logged (accept_failed) and counted, as are closed ones.

--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <csignal>
+#include <sys/resource.h>
 #include <utility>
 
 namespace citronpulley {
@@ -47,6 +48,17 @@
   return std::to_string(aTime.count() / 1'000'000) + "." + milliseconds;
 }
 
+/** Descriptors of a process whose limit cannot be read. */
+constexpr std::size_t kDefaultDescriptors = 1'024;
+
+/** @return number of descriptors that the process may open */
+std::size_t GetDescriptorLimit()
+{
+  rlimit limit{};
+  const bool isKnown = ::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+  return isKnown ? static_cast<std::size_t>(limit.rlim_cur) : kDefaultDescriptors;
+}
+
 std::string GetIp(const std::string& aAddress)
 {
   return aAddress.substr(0, aAddress.rfind(':'));
@@ -112,6 +124,16 @@
   mCallerContext->mOnRequest = [this](const auto& aRequest) {
     HandleRequest(aRequest, std::nullopt);
   };
+  mCallerListener.SetMaxSessions(GetDescriptorLimit() / 4 * 3);
+  mCallerListener.SetOnAcceptFailed([this](const std::string& aReason) {
+    const instant now = GetBootTime();
+    if (mLog.TryReserveLine(event_class::Failure, now)) {
+      mLog.Write("accept_failed",
+                 { { "reason", aReason },
+                   { "connections", static_cast<std::uint64_t>(mCallerListener.CountSessions()) } },
+                 now);
+    }
+  });
   mRelayContext->mLimits = [this] {
     caller_limits limits = mCallerContext->mLimits();
     limits.mMaxHeaderBytes += kRelayFieldBytes;
--- a/src/citronpulley/gateway/entry_gateway_reporting.cpp
+++ b/src/citronpulley/gateway/entry_gateway_reporting.cpp
@@ -257,6 +257,9 @@
                     static_cast<double>(mSteering.GetPool().CountBackoffs(now)));
   mMetrics.SetGauge("backend_servers_limited",
                     static_cast<double>(mSteering.GetPool().CountLimits()));
+  mMetrics.SetGauge("accepts_failed", static_cast<double>(mCallerListener.CountFailedAccepts()));
+  mMetrics.SetGauge("idle_connections_evicted",
+                    static_cast<double>(mCallerListener.CountEvicted()));
   mMetrics.SetGauge("services_cut_off", static_cast<double>(mSteering.CountCutOff()));
   mMetrics.SetGauge("frames_refused", static_cast<double>(mBus.CountRefused()));
   mMetrics.SetGauge("log_lines_left_out", static_cast<double>(mLog.CountDroppedLines()));
--- a/src/citronpulley/gateway/http_listener.cpp
+++ b/src/citronpulley/gateway/http_listener.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
+#include <cstddef>
+#include <vector>
 
 namespace citronpulley {
 
@@ -73,8 +75,7 @@
         return;
       }
       if (aError) {
-        mAcceptRetryTimer.expires_after(kAcceptRetryDelay);
-        mAcceptRetryTimer.async_wait([this](const boost::system::error_code&) { Accept(); });
+        HandleAcceptFailure(aError.message());
         return;
       }
       mSessions.push_back(std::make_shared<http_session>(std::move(aSocket), mContext));
@@ -83,8 +84,42 @@
     });
 }
 
+void http_listener::HandleAcceptFailure(const std::string& aReason)
+{
+  ++mFailedAccepts;
+  if (mOnAcceptFailed) {
+    mOnAcceptFailed(aReason);
+  }
+  if (EvictIdle(kEvictedAtOnce) > 0) {
+    Accept();
+    return;
+  }
+  mAcceptRetryTimer.expires_after(kAcceptRetryDelay);
+  mAcceptRetryTimer.async_wait([this](const boost::system::error_code&) { Accept(); });
+}
+
+std::size_t http_listener::EvictIdle(std::size_t aCount)
+{
+  std::vector<std::pair<instant, http_session*>> idle;
+  for (const std::shared_ptr<http_session>& session : mSessions) {
+    if (session->IsIdle()) {
+      idle.emplace_back(session->GetLastActivityAt(), session.get());
+    }
+  }
+  const std::size_t count = std::min(aCount, idle.size());
+  std::ranges::partial_sort(idle, idle.begin() + static_cast<std::ptrdiff_t>(count));
+  for (std::size_t i = 0; i < count; ++i) {
+    idle[i].second->Close();
+  }
+  mEvicted += count;
+  return count;
+}
+
 void http_listener::CheckTimeouts(instant aNow)
 {
+  if (mSessions.size() > mMaxSessions) {
+    EvictIdle(mSessions.size() - mMaxSessions);
+  }
   for (const std::shared_ptr<http_session>& session : mSessions) {
     session->CheckTimeouts(aNow);
   }
--- a/src/citronpulley/gateway/http_session.cpp
+++ b/src/citronpulley/gateway/http_session.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
+#include <sys/socket.h>
 #include <utility>
 
 namespace citronpulley {
@@ -102,7 +103,11 @@
 
 void http_session::Read()
 {
-  if (mIsReading || mIsClosed || mQueue.size() >= kMaxPipelined) {
+  if (mIsReading || mIsClosed) {
+    return;
+  }
+  if (mQueue.size() >= kMaxPipelined) {
+    mMayHaveWaited = true;
     return;
   }
   mIsReading = true;
@@ -117,6 +122,10 @@
         self->Close();
         return;
       }
+      if (std::exchange(self->mMayHaveWaited, false) && self->HasClientLeft()) {
+        self->Close();
+        return;
+      }
       if (!self->mHasFinalResponse) {
         self->mParser->mBuffer.commit(aByteCount);
         self->mLastActivityAt = GetBootTime();
@@ -126,6 +135,20 @@
     });
 }
 
+bool http_session::HasClientLeft()
+{
+  char next = 0;
+  const ssize_t count =
+    ::recv(mSocket.native_handle(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+  return count == 0;
+}
+
+bool http_session::IsIdle() const noexcept
+{
+  return !mIsClosed && !mIsWriting && !mHasFinalResponse && mQueue.empty() &&
+         !mParser->mMessage.has_value() && mParser->mBuffer.size() == 0;
+}
+
 void http_session::HandleBytes()
 {
   while (!mIsClosing && !mIsClosed && mParser->mBuffer.size() > 0 &&
--- a/src/citronpulley/gateway/http_session.h
+++ b/src/citronpulley/gateway/http_session.h
@@ -109,6 +109,12 @@
 
   bool IsClosed() const noexcept { return mIsClosed; }
 
+  /** @return true while no request is in progress or being received */
+  bool IsIdle() const noexcept;
+
+  /** @return time of the last transfer on the connection */
+  instant GetLastActivityAt() const noexcept { return mLastActivityAt; }
+
   /** @return true while a request waits for its response or a response is being written */
   bool IsBusy() const noexcept { return !mQueue.empty() || mIsWriting; }
 
@@ -119,6 +125,11 @@
   struct parser_state;
 
   void Read();
+  /**
+   * @return true when the client has closed its side, although not everything it sent was read.
+   * Bytes of a connection that waited before it was accepted or read may be followed by its end.
+   */
+  bool HasClientLeft();
   void HandleBytes();
   /** @return true when a further request may be parsed from the buffer */
   bool ParseRequest();
@@ -138,6 +149,8 @@
   memory_reservation mInputReservation;
   memory_reservation mOutputReservation;
   bool mIsReading = false;
+  /** What is read next may have waited: it is the first, or reading was paused. */
+  bool mMayHaveWaited = true;
   bool mIsWriting = false;
   /** No further requests are parsed; the connection is closed after the pending responses. */
   bool mIsClosing = false;
--- a/tests/gateway/http_session_test.cpp
+++ b/tests/gateway/http_session_test.cpp
@@ -119,3 +119,14 @@
   STRCMP_CONTAINS("Retry-After: ", mReceived.c_str());
   LONGS_EQUAL(0, mRequests);
 }
+
+/** Guards against requests that are handled although their caller left before they were read. */
+TEST(http_session, does_not_handle_a_request_whose_caller_left_while_it_waited)
+{
+  asio::write(*mCaller, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  mCaller->close();
+  while (!mSession->IsClosed()) {
+    mIo->run_one();
+  }
+  LONGS_EQUAL(0, mRequests);
+}
