--- a/src/citronpulley/fleet/entry_registry.cpp
+++ b/src/citronpulley/fleet/entry_registry.cpp
@@ -21,6 +21,20 @@
 /** Fraction of the tolerated rate that is used, since permits of two leaders can overlap. */
 constexpr double kWarmupUse = 0.9;
 
+/**
+ * @param aCutOff services that a VM does not reach
+ * @param aOtherCutOff the same of another VM
+ * @return true when the VM reaches everything, or a service that the other one does not
+ */
+bool ReachesMore(const std::vector<service_name>& aCutOff,
+                 const std::vector<service_name>& aOtherCutOff)
+{
+  return aCutOff.empty() ||
+         std::ranges::any_of(aOtherCutOff, [&aCutOff](const service_name& aService) {
+           return std::ranges::find(aCutOff, aService) == aCutOff.end();
+         });
+}
+
 std::uint64_t MixHashes(std::uint64_t aOne, std::uint64_t aOther) noexcept
 {
   std::uint64_t hash = aOne ^ (aOther * 0x9e3779b97f4a7c15ULL);
@@ -61,12 +75,8 @@
 {
   std::map<region_name, std::vector<std::pair<std::uint64_t, const entry*>>> candidates;
   for (const auto& [vm, other] : mEntries) {
-    const bool reachesMore =
-      other.mCutOff.empty() ||
-      std::ranges::any_of(aEntry.mCutOff, [&](const service_name& aService) {
-        return std::ranges::find(other.mCutOff, aService) == other.mCutOff.end();
-      });
-    if (&other != &aEntry && other.mIsAccepting && other.mReachableUntil > aNow && reachesMore) {
+    if (&other != &aEntry && other.mIsAccepting && other.mReachableUntil > aNow &&
+        ReachesMore(other.mCutOff, aEntry.mCutOff)) {
       candidates[other.mLocation.mRegion].emplace_back(MixHashes(aEntry.mHash, other.mHash),
                                                        &other);
     }
@@ -99,11 +109,10 @@
   return &entry;
 }
 
-const std::vector<relay_vm>& entry_registry::ListRelays(const vm_name& aVm, instant aNow)
+std::vector<relay_vm> entry_registry::ListRelays(const vm_name& aVm, instant aNow)
 {
-  static const std::vector<relay_vm> kNone;
   const entry* entry = FindWithRelays(aVm, aNow);
-  return entry == nullptr ? kNone : entry->mRelays;
+  return entry == nullptr ? std::vector<relay_vm>() : entry->mRelays;
 }
 
 std::uint64_t entry_registry::GetRelayDigest(const vm_name& aVm, instant aNow)
--- a/src/citronpulley/fleet/entry_registry.h
+++ b/src/citronpulley/fleet/entry_registry.h
@@ -59,7 +59,7 @@
    * VMs are drawn by a hash, so that each one helps about as many others, and so that the list of a
    * VM changes little. Computed again only after a change in the fleet.
    */
-  const std::vector<relay_vm>& ListRelays(const vm_name& aVm, instant aNow);
+  std::vector<relay_vm> ListRelays(const vm_name& aVm, instant aNow);
 
   /** @return digest of that list */
   std::uint64_t GetRelayDigest(const vm_name& aVm, instant aNow);
--- a/src/citronpulley/fleet/fleet.h
+++ b/src/citronpulley/fleet/fleet.h
@@ -8,8 +8,9 @@
  * soft state of `backend_registry` and `entry_registry`, the rate tokens of `workspace_ledger`, and
  * the health that `backend_health_table` derives from the outcomes at all entry VMs;
  * `backend_status_table` tells loads and health to the entry VMs.
- * `entry_steering` makes the decisions of an entry VM. `fleet_message` defines the messages between
- * them. None of them does input or output.
+ * `entry_steering` makes the decisions of an entry VM; `relay_pool` chooses another entry VM for
+ * requests while this one does not reach the backend servers. `fleet_message` defines the messages
+ * between them. None of them does input or output.
  */
 
 #include "citronpulley/fleet/backend_health_table.h"
--- a/src/citronpulley/gateway/entry_gateway.h
+++ b/src/citronpulley/gateway/entry_gateway.h
@@ -132,9 +132,11 @@
                         std::string_view aEvent,
                         const std::vector<std::string_view>& aValues,
                         instant aNow);
+  /** @param aOutcome label of the request in the metrics */
   void ForwardResponse(const exchange_ptr& aExchange,
                        const std::optional<load_report>& aLoad,
-                       http_response aResponse);
+                       http_response aResponse,
+                       std::string_view aOutcome);
   void Refuse(const std::shared_ptr<inbound_request>& aRequest, const refusal& aRefusal);
   void RefuseExchange(const exchange_ptr& aExchange, refusal_reason aReason);
   void CancelExchange(const exchange_ptr& aExchange);
--- a/src/citronpulley/gateway/entry_gateway_relays.cpp
+++ b/src/citronpulley/gateway/entry_gateway_relays.cpp
@@ -106,7 +106,10 @@
   }
   switch (next) {
     case next_step::ForwardResponse:
-      ForwardResponse(aExchange, std::nullopt, std::move(aResponse));
+      ForwardResponse(aExchange,
+                      std::nullopt,
+                      std::move(aResponse),
+                      outcome == relay_outcome::Answered ? "answered" : "refused_by_relay");
       return;
     case next_step::Retry:
       StartAttempt(aExchange);
--- a/src/citronpulley/gateway/gateway.h
+++ b/src/citronpulley/gateway/gateway.h
@@ -6,7 +6,8 @@
  * Overview of the module `gateway`: the processes of direct steering. `entry_gateway` and
  * `control_gateway` run the decision logic of `fleet`, which does no I/O, and connect it to
  * sockets, the disk, the clock, the log and the metrics. A `wire_dialect` translates the header
- * names, paths and body formats of a deployment's platform. This module does I/O.
+ * names, paths and body formats of a deployment's platform. Requests that one entry VM sends on to
+ * another one carry the fields of `relay_fields`. This module does I/O.
  */
 
 #include "citronpulley/gateway/control_gateway.h"
--- a/src/citronpulley/steering/steering.h
+++ b/src/citronpulley/steering/steering.h
@@ -6,7 +6,8 @@
  * Overview of the module `steering`: the parts with which an entry VM sends requests directly to
  * backend servers. `traffic_config` and `route_index` define which requests are permitted and where
  * they may run, `backend_pool` chooses the backend server, `workspace_meter` enforces the rates of
- * workspaces, and `run_time_estimate` estimates run times. None of them does input or output.
+ * workspaces, `run_time_estimate` estimates run times, and `reach_monitor` decides whether this VM
+ * is cut off from the backend servers of a service. None of them does input or output.
  */
 
 #include "citronpulley/steering/backend_pool.h"
@@ -14,6 +15,7 @@
 #include "citronpulley/steering/key_hash.h"
 #include "citronpulley/steering/load_report.h"
 #include "citronpulley/steering/outcome_tally.h"
+#include "citronpulley/steering/reach_monitor.h"
 #include "citronpulley/steering/route_index.h"
 #include "citronpulley/steering/run_time_estimate.h"
 #include "citronpulley/steering/traffic_config.h"
--- a/tests/steering/reach_monitor_test.cpp
+++ b/tests/steering/reach_monitor_test.cpp
@@ -14,6 +14,7 @@
 std::vector<reach_monitor::candidate> MakeCandidates(int aCount)
 {
   std::vector<reach_monitor::candidate> list;
+  list.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     list.push_back({ "i-" + std::to_string(i), zone_name(i % 2 == 0 ? "a" : "b") });
   }
