--- a/src/citronpulley/fleet/entry_registry.cpp
+++ b/src/citronpulley/fleet/entry_registry.cpp
@@ -94,11 +94,11 @@
   return relays;
 }
 
-entry_registry::entry* entry_registry::FindWithRelays(const vm_name& aVm, instant aNow)
+void entry_registry::FillRelays(const entry_report& aReport, instant aNow, entry_update& aUpdate)
 {
-  const auto found = mEntries.find(aVm);
+  const auto found = mEntries.find(aReport.mLocation.mVm);
   if (found == mEntries.end()) {
-    return nullptr;
+    return;
   }
   entry& entry = found->second;
   if (entry.mRelayVersion != mVersion) {
@@ -106,19 +106,10 @@
     entry.mRelayDigest = ComputeRelayDigest(entry.mRelays);
     entry.mRelayVersion = mVersion;
   }
-  return &entry;
-}
-
-std::vector<relay_vm> entry_registry::ListRelays(const vm_name& aVm, instant aNow)
-{
-  const entry* entry = FindWithRelays(aVm, aNow);
-  return entry == nullptr ? std::vector<relay_vm>() : entry->mRelays;
-}
-
-std::uint64_t entry_registry::GetRelayDigest(const vm_name& aVm, instant aNow)
-{
-  const entry* entry = FindWithRelays(aVm, aNow);
-  return entry == nullptr ? 0 : entry->mRelayDigest;
+  if (entry.mRelayDigest != aReport.mRelayDigest) {
+    aUpdate.mHasRelays = true;
+    aUpdate.mRelays = entry.mRelays;
+  }
 }
 
 void entry_registry::Adopt(const std::vector<entry_location>& aEntries, instant aNow)
--- a/src/citronpulley/fleet/entry_registry.h
+++ b/src/citronpulley/fleet/entry_registry.h
@@ -57,12 +57,10 @@
   /**
    * Lists the entry VMs that a VM may send requests to when it does not reach backend servers. The
    * VMs are drawn by a hash, so that each one helps about as many others, and so that the list of a
-   * VM changes little. Computed again only after a change in the fleet.
+   * VM changes little. Computed again only after a change in the fleet, and filled in only when the
+   * report names another list.
    */
-  std::vector<relay_vm> ListRelays(const vm_name& aVm, instant aNow);
-
-  /** @return digest of that list */
-  std::uint64_t GetRelayDigest(const vm_name& aVm, instant aNow);
+  void FillRelays(const entry_report& aReport, instant aNow, entry_update& aUpdate);
 
 private:
   struct entry
@@ -82,7 +80,6 @@
   };
 
   entry& FindOrAdd(const entry_location& aLocation);
-  entry* FindWithRelays(const vm_name& aVm, instant aNow);
   std::vector<relay_vm> ComputeRelays(const entry& aEntry, instant aNow) const;
 
   /** Rises with each change that concerns the lists of VMs for relays. */
--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -24,11 +24,6 @@
 constexpr microseconds kControlRetryAfter{ 1'000'000 };
 /** Retry delay for a workspace that exceeded its rate: the time after which it has tokens again. */
 constexpr microseconds kRateRetryAfter{ 1'000'000 };
-/**
- * Time from the choice of a backend server to the sending after which the choice is made again; the
- * deadline that the request carries is then too late by as much.
- */
-constexpr microseconds kMaxSendDelay{ 400'000 };
 /**
  * Failed connections to backend servers from which a request goes to another entry VM. A single
  * failed backend server is common; each further one costs the caller a round trip.
@@ -264,8 +259,7 @@
                              instant aPlacedAt,
                              instant aNow) const
 {
-  const bool isFresh = !aTicket.mNeedsKey || aNow < mFreshUntil;
-  return isFresh && aNow < aTicket.mDeadline && aNow < aPlacedAt + kMaxSendDelay &&
+  return MayRelay(aTicket, aPlacedAt, aNow) &&
          mPool.IsAccepting(aPlacement.mBackend, aPlacement.mStartedAtMs, aNow);
 }
 
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -208,6 +208,12 @@
 class entry_steering
 {
 public:
+  /**
+   * Time from the choice of a backend server or entry VM to the sending after which the choice is
+   * made again; the deadline that the request carries is then too late by as much.
+   */
+  static constexpr microseconds kMaxSendDelay{ 400'000 };
+
   explicit entry_steering(entry_steering_settings aSettings);
 
   /**
--- a/src/citronpulley/fleet/entry_steering_relays.cpp
+++ b/src/citronpulley/fleet/entry_steering_relays.cpp
@@ -8,8 +8,6 @@
 
 /** Entry VMs to which one request is sent on at most; each may cost a failed connection. */
 constexpr std::size_t kMaxRelays = 3;
-/** Time from the choice of an entry VM to the sending after which the choice is made again. */
-constexpr microseconds kMaxRelayDelay{ 400'000 };
 
 } // namespace
 
@@ -49,7 +47,7 @@
                               instant aNow) const
 {
   const bool isFresh = !aTicket.mNeedsKey || aNow < mFreshUntil;
-  return isFresh && aNow < aTicket.mDeadline && aNow < aPlacedAt + kMaxRelayDelay;
+  return isFresh && aNow < aTicket.mDeadline && aNow < aPlacedAt + kMaxSendDelay;
 }
 
 void entry_steering::RecordRelayed(admission_ticket& aTicket, const relay_target& aTarget)
--- a/src/citronpulley/fleet/fleet_control.h
+++ b/src/citronpulley/fleet/fleet_control.h
@@ -258,7 +258,6 @@
   /** Brings the loads and health for entry VMs up to date. */
   void UpdateStatuses(instant aNow, fleet_actions& aActions);
   void FillPermits(const entry_report& aReport, instant aNow, entry_update& aUpdate);
-  void FillRelays(const entry_report& aReport, instant aNow, entry_update& aUpdate);
   fleet_message HandleReport(const entry_report& aReport, instant aNow, fleet_actions& aActions);
 
   fleet_control_settings mSettings;
--- a/src/citronpulley/fleet/fleet_control_reports.cpp
+++ b/src/citronpulley/fleet/fleet_control_reports.cpp
@@ -59,16 +59,6 @@
   }
 }
 
-void fleet_control::FillRelays(const entry_report& aReport, instant aNow, entry_update& aUpdate)
-{
-  aUpdate.mRelayToken = ComputeRelayToken(mGroup.GetMembership().mGroup);
-  const vm_name& vm = aReport.mLocation.mVm;
-  if (mEntries.GetRelayDigest(vm, aNow) != aReport.mRelayDigest) {
-    aUpdate.mHasRelays = true;
-    aUpdate.mRelays = mEntries.ListRelays(vm, aNow);
-  }
-}
-
 void fleet_control::HandleObservations(const entry_report& aReport, instant aNow)
 {
   for (const backend_observation& seen : aReport.mObservations) {
@@ -172,7 +162,8 @@
   }
   update.mGrants = mLedger.HandleReport(aReport, aNow);
   FillPermits(aReport, aNow, update);
-  FillRelays(aReport, aNow, update);
+  update.mRelayToken = ComputeRelayToken(mGroup.GetMembership().mGroup);
+  mEntries.FillRelays(aReport, aNow, update);
   for (const auto& [fingerprint, record] : mCrashes) {
     if (record.mBackends.size() >= kQuarantineCrashes) {
       update.mQuarantined.push_back(fingerprint);
--- a/src/citronpulley/fleet/relay_pool.cpp
+++ b/src/citronpulley/fleet/relay_pool.cpp
@@ -7,15 +7,6 @@
 
 namespace citronpulley {
 
-namespace {
-
-bool Allows(const std::vector<region_name>& aRegions, const region_name& aRegion)
-{
-  return aRegions.empty() || std::ranges::find(aRegions, aRegion) != aRegions.end();
-}
-
-} // namespace
-
 void relay_pool::SetVms(std::vector<relay_vm> aVms)
 {
   mVms = std::move(aVms);
@@ -35,8 +26,7 @@
   for (std::size_t i = 0; i < mVms.size(); ++i) {
     const relay_vm& vm = mVms[(mNextVm + i) % mVms.size()];
     const member& member = mMembers[vm.mVm];
-    if (aNow < member.mEjectedUntil || !Allows(aRequest.mRouteRegions, vm.mRegion) ||
-        !Allows(aRequest.mWorkspaceRegions, vm.mRegion) ||
+    if (aNow < member.mEjectedUntil || !aRequest.Permits(vm.mRegion) ||
         std::ranges::find(vm.mCutOff, aRequest.mService) != vm.mCutOff.end() ||
         std::ranges::find(aExcluded, vm.mVm) != aExcluded.end()) {
       continue;
--- a/src/citronpulley/gateway/control_gateway.cpp
+++ b/src/citronpulley/gateway/control_gateway.cpp
@@ -76,11 +76,6 @@
     aMessage);
 }
 
-std::string_view GetIp(std::string_view aAddress)
-{
-  return aAddress.substr(0, aAddress.rfind(':'));
-}
-
 std::string_view GetPort(std::string_view aAddress)
 {
   return aAddress.substr(aAddress.rfind(':') + 1);
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -56,11 +56,6 @@
   return isKnown ? static_cast<std::size_t>(limit.rlim_cur) : kDefaultDescriptors;
 }
 
-std::string GetIp(const std::string& aAddress)
-{
-  return aAddress.substr(0, aAddress.rfind(':'));
-}
-
 unsigned GetHttpStatus(refusal_reason aReason)
 {
   switch (aReason) {
@@ -89,8 +84,8 @@
   , mBudget(std::make_shared<memory_budget>(mSettings.mMemoryBytes / kMessageMemoryDivisor))
   , mLog(mSettings.mName)
   , mSteering(mSettings.mSteering)
-  , mConnector(mIo, mBudget, GetIp(mSettings.mSteering.mLocation.mVm.mValue))
-  , mRelayConnector(mIo, mBudget, GetIp(mSettings.mSteering.mLocation.mVm.mValue))
+  , mConnector(mIo, mBudget, std::string(GetIp(mSettings.mSteering.mLocation.mVm.mValue)))
+  , mRelayConnector(mIo, mBudget, std::string(GetIp(mSettings.mSteering.mLocation.mVm.mValue)))
   , mCallerContext(std::make_shared<http_session_context>())
   , mCallerListener(mIo, mCallerContext)
   , mReadyListener(mIo,
@@ -347,15 +342,24 @@
   if (outcome != attempt_outcome::Answered) {
     LogFailedAttempt(*aExchange, ToString(outcome), aResponse.mStatus, ToString(next), now);
   }
-  switch (next) {
+  ContinueExchange(aExchange, next, load, std::move(aResponse), refusal_reason::Overloaded);
+}
+
+void entry_gateway::ContinueExchange(const exchange_ptr& aExchange,
+                                     next_step aNext,
+                                     const std::optional<load_report>& aLoad,
+                                     http_response aResponse,
+                                     refusal_reason aReason)
+{
+  switch (aNext) {
     case next_step::ForwardResponse:
-      ForwardResponse(aExchange, load, std::move(aResponse), "answered");
+      ForwardResponse(aExchange, aLoad, std::move(aResponse));
       return;
     case next_step::Retry:
       StartAttempt(aExchange);
       return;
     case next_step::Refuse:
-      RefuseExchange(aExchange, refusal_reason::Overloaded);
+      RefuseExchange(aExchange, aReason);
       return;
     case next_step::Fail:
       RefuseExchange(aExchange, refusal_reason::OutcomeUnknown);
@@ -365,9 +369,10 @@
 
 void entry_gateway::ForwardResponse(const exchange_ptr& aExchange,
                                     const std::optional<load_report>& aLoad,
-                                    http_response aResponse,
-                                    std::string_view aOutcome)
+                                    http_response aResponse)
 {
+  const bool isRelayRefusal =
+    aExchange->mRelay && ReadRelayOutcome(aResponse) != relay_outcome::Answered;
   http_fields fields;
   for (http_field& field : aResponse.mFields) {
     if (!IsHopByHopField(aResponse.mFields, field.mName) && !IsRelayField(field.mName)) {
@@ -378,7 +383,8 @@
   aResponse.mFields = std::move(fields);
   const instant now = GetBootTime();
   LogAnswer(*aExchange, aResponse.mStatus, aLoad, now);
-  mMetrics.RecordRequest(aOutcome, now - aExchange->mRequest->mReceivedAt);
+  mMetrics.RecordRequest(isRelayRefusal ? "refused_by_relay" : "answered",
+                         now - aExchange->mRequest->mReceivedAt);
   aExchange->mRequest->Respond(aResponse);
   RemoveExchange(aExchange);
 }
--- a/src/citronpulley/gateway/entry_gateway.h
+++ b/src/citronpulley/gateway/entry_gateway.h
@@ -132,11 +132,20 @@
                         std::string_view aEvent,
                         const std::vector<std::string_view>& aValues,
                         instant aNow);
-  /** @param aOutcome label of the request in the metrics */
+  /**
+   * Does what was decided after an attempt.
+   *
+   * @param aLoad load that the response reported, if any
+   * @param aReason reason of a refusal, if that was decided
+   */
+  void ContinueExchange(const exchange_ptr& aExchange,
+                        next_step aNext,
+                        const std::optional<load_report>& aLoad,
+                        http_response aResponse,
+                        refusal_reason aReason);
   void ForwardResponse(const exchange_ptr& aExchange,
                        const std::optional<load_report>& aLoad,
-                       http_response aResponse,
-                       std::string_view aOutcome);
+                       http_response aResponse);
   void Refuse(const std::shared_ptr<inbound_request>& aRequest, const refusal& aRefusal);
   void RefuseExchange(const exchange_ptr& aExchange, refusal_reason aReason);
   void CancelExchange(const exchange_ptr& aExchange);
--- a/src/citronpulley/gateway/entry_gateway_relays.cpp
+++ b/src/citronpulley/gateway/entry_gateway_relays.cpp
@@ -104,23 +104,7 @@
   if (outcome != relay_outcome::Answered) {
     LogFailedAttempt(*aExchange, ToString(outcome), aResponse.mStatus, ToString(next), now);
   }
-  switch (next) {
-    case next_step::ForwardResponse:
-      ForwardResponse(aExchange,
-                      std::nullopt,
-                      std::move(aResponse),
-                      outcome == relay_outcome::Answered ? "answered" : "refused_by_relay");
-      return;
-    case next_step::Retry:
-      StartAttempt(aExchange);
-      return;
-    case next_step::Refuse:
-      RefuseExchange(aExchange, refusal_reason::NoBackend);
-      return;
-    case next_step::Fail:
-      RefuseExchange(aExchange, refusal_reason::OutcomeUnknown);
-      return;
-  }
+  ContinueExchange(aExchange, next, std::nullopt, std::move(aResponse), refusal_reason::NoBackend);
 }
 
 void entry_gateway::HandleRelayedRequest(const std::shared_ptr<inbound_request>& aRequest)
--- a/src/citronpulley/gateway/http_listener.cpp
+++ b/src/citronpulley/gateway/http_listener.cpp
@@ -28,6 +28,11 @@
     error_code::BadRequest, step::Connect, aAddress, "expected an address of the form IP:port");
 }
 
+std::string_view GetIp(std::string_view aAddress) noexcept
+{
+  return aAddress.substr(0, aAddress.rfind(':'));
+}
+
 status OpenAcceptor(asio::ip::tcp::acceptor& aAcceptor, const std::string& aAddress)
 {
   const result<asio::ip::tcp::endpoint> endpoint = ParseEndpoint(aAddress);
--- a/src/citronpulley/gateway/http_listener.h
+++ b/src/citronpulley/gateway/http_listener.h
@@ -14,6 +14,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace citronpulley {
@@ -84,6 +85,9 @@
 /** @return the endpoint of an address `IP:port`, or an error */
 result<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& aAddress);
 
+/** @return the part of an address `IP:port` before the port */
+std::string_view GetIp(std::string_view aAddress) noexcept;
+
 /** Binds an acceptor to `IP:port` and starts to listen. */
 status OpenAcceptor(boost::asio::ip::tcp::acceptor& aAcceptor, const std::string& aAddress);
 
--- a/src/citronpulley/steering/backend_pool.cpp
+++ b/src/citronpulley/steering/backend_pool.cpp
@@ -69,6 +69,11 @@
 
 } // namespace
 
+bool placement_request::Permits(const region_name& aRegion) const
+{
+  return Allows(mRouteRegions, aRegion) && Allows(mWorkspaceRegions, aRegion);
+}
+
 std::string_view ToString(attempt_outcome aOutcome) noexcept
 {
   switch (aOutcome) {
@@ -234,8 +239,7 @@
 {
   const backend_record& record = aBackend.mRecord;
   return !record.mIsLeaving && !mEvacuatedZones.contains(record.mZone) &&
-         Allows(aRequest.mRouteRegions, aBackend.mRegion) &&
-         Allows(aRequest.mWorkspaceRegions, aBackend.mRegion);
+         aRequest.Permits(aBackend.mRegion);
 }
 
 bool backend_pool::IsUsable(const backend& aBackend,
--- a/src/citronpulley/steering/backend_pool.h
+++ b/src/citronpulley/steering/backend_pool.h
@@ -68,6 +68,9 @@
    * service: probes find out when they can be reached, and requests need not wait for them.
    */
   bool mAvoidsUnreachable = false;
+
+  /** @return true when both lists of regions permit the region */
+  bool Permits(const region_name& aRegion) const;
 };
 
 /** Backend server chosen for a request. */
@@ -360,6 +363,8 @@
     Ignored,
   };
 
+  /** @return the backend server while this process start is known, or null */
+  backend* FindStart(const std::string& aBackend, std::int64_t aStartedAtMs);
   bool HasToken(const backend& aBackend, instant aNow) const;
   /** @return true when the route, the workspace and the state of the fleet permit the request */
   bool IsPermitted(const backend& aBackend, const placement_request& aRequest) const;
--- a/src/citronpulley/steering/backend_pool_statements.cpp
+++ b/src/citronpulley/steering/backend_pool_statements.cpp
@@ -13,6 +13,15 @@
 
 } // namespace
 
+backend_pool::backend* backend_pool::FindStart(const std::string& aBackend,
+                                               std::int64_t aStartedAtMs)
+{
+  const auto found = mBackends.find(aBackend);
+  const bool isKnown =
+    found != mBackends.end() && found->second.mRecord.mStartedAtMs == aStartedAtMs;
+  return isKnown ? &found->second : nullptr;
+}
+
 bool backend_pool::HasToken(const backend& aBackend, instant aNow) const
 {
   return !aBackend.mShare || (aNow < mSharesValidUntil && aBackend.mShare->HasToken(aNow));
@@ -46,19 +55,17 @@
                                  instant aNow,
                                  instant aUntil)
 {
-  const auto found = mBackends.find(aBackend);
-  if (found != mBackends.end() && found->second.mRecord.mStartedAtMs == aStartedAtMs) {
-    found->second.mBackoffAt = aNow;
-    found->second.mBackoffUntil = std::max(found->second.mBackoffUntil, aUntil);
+  if (backend* backend = FindStart(aBackend, aStartedAtMs)) {
+    backend->mBackoffAt = aNow;
+    backend->mBackoffUntil = std::max(backend->mBackoffUntil, aUntil);
   }
 }
 
 void backend_pool::RecordLeaving(const std::string& aBackend, std::int64_t aStartedAtMs)
 {
-  const auto found = mBackends.find(aBackend);
-  if (found != mBackends.end() && found->second.mRecord.mStartedAtMs == aStartedAtMs) {
-    found->second.mHasStatedLeaving = true;
-    found->second.mRecord.mIsLeaving = true;
+  if (backend* backend = FindStart(aBackend, aStartedAtMs)) {
+    backend->mHasStatedLeaving = true;
+    backend->mRecord.mIsLeaving = true;
   }
 }
 
@@ -94,30 +101,29 @@
                                const limit_notice& aNotice,
                                instant aNow)
 {
-  const auto found = mBackends.find(aBackend);
-  if (found == mBackends.end() || found->second.mRecord.mStartedAtMs != aStartedAtMs) {
+  backend* backend = FindStart(aBackend, aStartedAtMs);
+  if (backend == nullptr) {
     return;
   }
-  backend& backend = found->second;
   const auto record = [&] {
-    backend.mNotice = aNotice;
-    backend.mNoticeAt = aNow;
-    backend.mNoticeReport = 0;
+    backend->mNotice = aNotice;
+    backend->mNoticeAt = aNow;
+    backend->mNoticeReport = 0;
   };
   std::visit(overloaded{
                [](const limit_unknown&) {},
                [&](const limit_none&) {
-                 if (backend.mShare) {
-                   backend.mShare.reset();
+                 if (backend->mShare) {
+                   backend->mShare.reset();
                    record();
                  }
                },
                [&](const limit_rate& aLimit) {
-                 if (!backend.mShare) {
-                   backend.mShare.emplace(aLimit.mRate, aNow);
+                 if (!backend->mShare) {
+                   backend->mShare.emplace(aLimit.mRate, aNow);
                    record();
-                 } else if (backend.mShare->GetLimit() != aLimit.mRate) {
-                   backend.mShare->SetLimit(aLimit.mRate);
+                 } else if (backend->mShare->GetLimit() != aLimit.mRate) {
+                   backend->mShare->SetLimit(aLimit.mRate);
                    record();
                  }
                },
@@ -181,10 +187,9 @@
                                  double aShare,
                                  instant aNow)
 {
-  const auto found = mBackends.find(aBackend);
-  if (found != mBackends.end() && found->second.mShare &&
-      found->second.mRecord.mStartedAtMs == aStartedAtMs) {
-    found->second.mShare->SetShare(aShare, aNow);
+  backend* backend = FindStart(aBackend, aStartedAtMs);
+  if (backend != nullptr && backend->mShare) {
+    backend->mShare->SetShare(aShare, aNow);
   }
 }
 
