--- a/src/citronpulley/replay/replay.h
+++ b/src/citronpulley/replay/replay.h
@@ -9,6 +9,7 @@
 
 #include "citronpulley/replay/control_vm_driver.h"
 #include "citronpulley/replay/outcome_checker.h"
+#include "citronpulley/replay/outcome_statistics.h"
 #include "citronpulley/replay/replay_history.h"
 #include "citronpulley/replay/replay_measures.h"
 #include "citronpulley/replay/replay_runner.h"
--- a/src/citronpulley/replay/replay_measures.cpp
+++ b/src/citronpulley/replay/replay_measures.cpp
@@ -1,7 +1,7 @@
 #include "citronpulley/replay/replay_measures.h"
 
 #include "citronpulley/config/catalogue.h"
-#include "citronpulley/replay/outcome_checker.h"
+#include "citronpulley/replay/outcome_statistics.h"
 
 #include <boost/json.hpp>
 
--- a/tests/replay/outcome_checker_test.cpp
+++ b/tests/replay/outcome_checker_test.cpp
@@ -1,4 +1,5 @@
 #include "citronpulley/replay/outcome_checker.h"
+#include "citronpulley/replay/outcome_statistics.h"
 
 #include <CppUTest/TestHarness.h>
 
