Do not direct callers to entry VMs that reach no service

Seen by callers: while entry VMs are cut off from all backend servers, the directory still named them, so each request took one more hop.

Cause: a VM stayed in the directory as long as it reported to the leader. Change: a VM that is cut off from every service of the configuration is left out while at least two others of its region are not. A VM that lacks one service stays, since a VM without requests for that service does not notice that it is down, and callers would gather there.

Ruled out: leaving the directory instead of relays. Callers keep a list for 5 s and connections for longer.

--- a/src/citronpulley/fleet/entry_registry.cpp
+++ b/src/citronpulley/fleet/entry_registry.cpp
@@ -123,12 +123,28 @@
   }
 }
 
-std::vector<entry_location> entry_registry::ListAccepting(instant aNow) const
+bool entry_registry::ReachesNothing(const entry& aEntry, std::size_t aServiceCount)
 {
-  std::vector<entry_location> list;
+  // A VM notices a cut only for services that it has requests for, so a single service that is down
+  // must not move callers to the VMs without requests for it.
+  return aServiceCount > 0 && aEntry.mCutOff.size() >= aServiceCount;
+}
+
+std::vector<entry_location> entry_registry::ListAccepting(std::size_t aServiceCount,
+                                                          instant aNow) const
+{
+  std::vector<const entry*> accepting;
+  std::map<region_name, int> whole;
   for (const auto& [vm, entry] : mEntries) {
     if (entry.mIsAccepting && entry.mReachableUntil > aNow) {
-      list.push_back(entry.mLocation);
+      accepting.push_back(&entry);
+      whole[entry.mLocation.mRegion] += ReachesNothing(entry, aServiceCount) ? 0 : 1;
+    }
+  }
+  std::vector<entry_location> list;
+  for (const entry* entry : accepting) {
+    if (!ReachesNothing(*entry, aServiceCount) || whole[entry->mLocation.mRegion] < kMinWholeVms) {
+      list.push_back(entry->mLocation);
     }
   }
   return list;
--- a/src/citronpulley/fleet/entry_registry.h
+++ b/src/citronpulley/fleet/entry_registry.h
@@ -4,6 +4,7 @@
 #include "citronpulley/base/instant.h"
 #include "citronpulley/fleet/fleet_message.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -39,8 +40,16 @@
    */
   void Adopt(const std::vector<entry_location>& aEntries, instant aNow);
 
-  /** @return reachable entry VMs that accept requests */
-  std::vector<entry_location> ListAccepting(instant aNow) const;
+  /**
+   * Lists the entry VMs that callers are directed to: the reachable ones that accept requests.
+   * Leaves out those that reach no service, while kMinWholeVms others of their region do.
+   *
+   * @param aServiceCount number of services in the configuration
+   */
+  std::vector<entry_location> ListAccepting(std::size_t aServiceCount, instant aNow) const;
+
+  /** Entry VMs of a region, at least, that callers are directed to. */
+  static constexpr int kMinWholeVms = 2;
 
   /**
    * Computes the rate at which an entry VM may send to a cold backend server. Only a few entry VMs
@@ -80,6 +89,7 @@
   };
 
   entry& FindOrAdd(const entry_location& aLocation);
+  static bool ReachesNothing(const entry& aEntry, std::size_t aServiceCount);
   std::vector<relay_vm> ComputeRelays(const entry& aEntry, instant aNow) const;
 
   /** Rises with each change that concerns the lists of VMs for relays. */
--- a/src/citronpulley/fleet/fleet_control.cpp
+++ b/src/citronpulley/fleet/fleet_control.cpp
@@ -183,7 +183,8 @@
 
 std::vector<entry_location> fleet_control::ListEntryVms(instant aNow) const
 {
-  return mGroup.IsLeader() ? mEntries.ListAccepting(aNow) : mListedEntryVms;
+  return mGroup.IsLeader() ? mEntries.ListAccepting(GetConfig().mServices.size(), aNow)
+                           : mListedEntryVms;
 }
 
 void fleet_control::Execute(group_actions& aGroupActions, instant aNow, fleet_actions& aActions)
@@ -454,7 +455,7 @@
   mNextDirectoryAt = aNow + kDirectoryInterval;
   const directory_update update{ mSettings.mSelf,
                                  GetContacts().mControlVms,
-                                 mEntries.ListAccepting(aNow) };
+                                 mEntries.ListAccepting(GetConfig().mServices.size(), aNow) };
   for (const group_member& member : mGroup.GetMembership().mMembers) {
     if (member.mVm != mSettings.mSelf) {
       aActions.emplace_back(send_fleet_message{ member.mVm, update });
