--- a/src/citronpulley/fleet/entry_registry.h
+++ b/src/citronpulley/fleet/entry_registry.h
@@ -64,10 +64,10 @@
                                        instant aNow) const;
 
   /**
-   * Lists the entry VMs that a VM may send requests to when it does not reach backend servers. The
-   * VMs are drawn by a hash, so that each one helps about as many others, and so that the list of a
-   * VM changes little. Computed again only after a change in the fleet, and filled in only when the
-   * report names another list.
+   * Fills in the entry VMs that a VM may send requests to when it does not reach backend servers,
+   * unless its report names the same list. They are drawn by a hash, so that each one helps about
+   * as many others and the list of a VM changes little. Computed again only after a change in the
+   * fleet.
    */
   void FillRelays(const entry_report& aReport, instant aNow, entry_update& aUpdate);
 
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -286,8 +286,8 @@
                            relay_outcome aOutcome,
                            instant aNow);
 
-  /** @return backend servers to probe now; RecordProbe() must follow for each */
-  std::vector<reach_probe> ListProbes(instant aNow);
+  /** Starts the probes that are due. @return backend servers to probe; RecordProbe() must follow */
+  std::vector<reach_probe> StartProbes(instant aNow);
 
   void RecordProbe(const reach_probe& aProbe, bool aIsReachable, instant aNow)
   {
--- a/src/citronpulley/fleet/entry_steering_relays.cpp
+++ b/src/citronpulley/fleet/entry_steering_relays.cpp
@@ -96,12 +96,12 @@
   mReach.RecordFailure(aTicket.mPlacement.mService, aPlacement.mBackend, aNow);
 }
 
-std::vector<reach_probe> entry_steering::ListProbes(instant aNow)
+std::vector<reach_probe> entry_steering::StartProbes(instant aNow)
 {
   std::vector<reach_probe> probes;
   for (const service_name& service : mReach.ListWatched()) {
     for (const std::string& backend :
-         mReach.ListProbes(service, mPool.ListAccepting(service), aNow)) {
+         mReach.StartProbes(service, mPool.ListAccepting(service), aNow)) {
       if (const server_name* address = mPool.FindAddress(backend)) {
         probes.push_back({ service, backend, *address });
       }
--- a/src/citronpulley/gateway/entry_gateway_relays.cpp
+++ b/src/citronpulley/gateway/entry_gateway_relays.cpp
@@ -140,7 +140,7 @@
 
 void entry_gateway::StartProbes(instant aNow)
 {
-  for (const reach_probe& probe : mSteering.ListProbes(aNow)) {
+  for (const reach_probe& probe : mSteering.StartProbes(aNow)) {
     mConnector.Probe(probe.mAddress, [this, probe](bool aIsReachable) {
       mSteering.RecordProbe(probe, aIsReachable, GetBootTime());
     });
--- a/src/citronpulley/steering/reach_monitor.cpp
+++ b/src/citronpulley/steering/reach_monitor.cpp
@@ -77,9 +77,9 @@
   return picked;
 }
 
-std::vector<std::string> reach_monitor::ListProbes(const service_name& aService,
-                                                   const std::vector<candidate>& aCandidates,
-                                                   instant aNow)
+std::vector<std::string> reach_monitor::StartProbes(const service_name& aService,
+                                                    const std::vector<candidate>& aCandidates,
+                                                    instant aNow)
 {
   const auto found = mServices.find(aService);
   if (found == mServices.end() || aCandidates.empty()) {
--- a/src/citronpulley/steering/reach_monitor.h
+++ b/src/citronpulley/steering/reach_monitor.h
@@ -69,22 +69,24 @@
   /** Records that a connection to a backend server failed, or ended with a request in progress. */
   void RecordFailure(const service_name& aService, const std::string& aBackend, instant aNow);
 
-  /** Records the result of a probe that ListProbes() requested. */
+  /** Records the result of a probe that StartProbes() requested. */
   void RecordProbe(const service_name& aService,
                    const std::string& aBackend,
                    bool aIsReachable,
                    instant aNow);
 
-  /** @return services whose probes ListProbes() may request now */
+  /** @return services whose probes StartProbes() may request now */
   std::vector<service_name> ListWatched() const;
 
   /**
+   * Starts the probes that are due.
+   *
    * @param aCandidates all backend servers of the service that accept requests
    * @return backend servers to probe now; each is probed once
    */
-  std::vector<std::string> ListProbes(const service_name& aService,
-                                      const std::vector<candidate>& aCandidates,
-                                      instant aNow);
+  std::vector<std::string> StartProbes(const service_name& aService,
+                                       const std::vector<candidate>& aCandidates,
+                                       instant aNow);
 
   reach GetReach(const service_name& aService) const;
 
--- a/tests/fleet/cut_fleet.h
+++ b/tests/fleet/cut_fleet.h
@@ -272,7 +272,7 @@
 
   void Probe(std::size_t aVm)
   {
-    for (const reach_probe& probe : mVms[aVm].mSteering->ListProbes(mNow)) {
+    for (const reach_probe& probe : mVms[aVm].mSteering->StartProbes(mNow)) {
       const auto [isConnected, after] = Connect(mVms[aVm]);
       Schedule(after, [this, aVm, probe, isConnected = isConnected] {
         mVms[aVm].mSteering->RecordProbe(probe, isConnected, mNow);
--- a/tests/steering/reach_monitor_test.cpp
+++ b/tests/steering/reach_monitor_test.cpp
@@ -29,9 +29,9 @@
   reach_monitor mMonitor;
   std::vector<reach_monitor::candidate> mCandidates = MakeCandidates(8);
 
-  std::vector<std::string> ListProbes()
+  std::vector<std::string> StartProbes()
   {
-    return mMonitor.ListProbes(kService, mCandidates, mNow);
+    return mMonitor.StartProbes(kService, mCandidates, mNow);
   }
 
   void RecordProbes(const std::vector<std::string>& aProbes, bool aIsReachable)
@@ -51,7 +51,7 @@
   {
     Fail("i-0");
     Fail("i-1");
-    RecordProbes(ListProbes(), false);
+    RecordProbes(StartProbes(), false);
     CHECK(reach::CutOff == mMonitor.GetReach(kService));
   }
 };
@@ -60,9 +60,9 @@
 TEST(reach_monitor, failed_backend_servers_are_no_cut_while_others_are_reached)
 {
   Fail("i-0");
-  CHECK(ListProbes().empty());
+  CHECK(StartProbes().empty());
   Fail("i-1");
-  const std::vector<std::string> probes = ListProbes();
+  const std::vector<std::string> probes = StartProbes();
   LONGS_EQUAL(3, probes.size());
   CHECK(std::ranges::find(probes, "i-0") == probes.end());
   CHECK(std::ranges::find(probes, "i-1") == probes.end());
@@ -88,14 +88,14 @@
 {
   Fail("i-0");
   Fail("i-1");
-  LONGS_EQUAL(3, ListProbes().size());
+  LONGS_EQUAL(3, StartProbes().size());
   mNow += reach_monitor::kProbeTimeout;
-  ListProbes();
+  StartProbes();
   CHECK(reach::CutOff == mMonitor.GetReach(kService));
   std::vector<std::string> probed;
   for (int i = 0; i < 6; ++i) {
     mNow += reach_monitor::kProbeInterval;
-    const std::vector<std::string> probes = ListProbes();
+    const std::vector<std::string> probes = StartProbes();
     LONGS_EQUAL(1, probes.size());
     CHECK(std::ranges::find(probed, probes.front()) == probed.end());
     probed.push_back(probes.front());
@@ -112,7 +112,7 @@
   mNow += reach_monitor::kFailureLifetime;
   Fail("i-1");
   Fail("i-1");
-  CHECK(ListProbes().empty());
+  CHECK(StartProbes().empty());
   CHECK(reach::Reachable == mMonitor.GetReach(kService));
 }
 
@@ -121,13 +121,13 @@
 {
   mCandidates = MakeCandidates(1);
   Fail("i-0");
-  const std::vector<std::string> probes = ListProbes();
+  const std::vector<std::string> probes = StartProbes();
   LONGS_EQUAL(1, probes.size());
   RecordProbes(probes, false);
   CHECK(reach::CutOff == mMonitor.GetReach(kService));
   mCandidates.clear();
   mNow += reach_monitor::kProbeInterval;
-  CHECK(ListProbes().empty());
+  CHECK(StartProbes().empty());
 }
 
 /** Guards against probes in a cut between zones that all go to the zone that is cut off. */
@@ -135,7 +135,7 @@
 {
   Fail("i-0");
   Fail("i-2");
-  const std::vector<std::string> probes = ListProbes();
+  const std::vector<std::string> probes = StartProbes();
   CHECK(std::ranges::any_of(probes, [](const std::string& aBackend) {
     return aBackend == "i-1" || aBackend == "i-3" || aBackend == "i-5" || aBackend == "i-7";
   }));
