--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,8 +12,10 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
-FREEZE_S = 4.0         # the site file freezes the leader for 4 s
-CALM_S = 44.0          # between the last change of the leader and the final fault
+FREEZE_S = 2.0         # the site file freezes the leader for 4 s
+CATCH_UP_S = 4.5       # CatchUp is 4 s: one machine is lost at a time
+MAX_FREEZES = 6
+CALM_S = 32.0          # between the last change of the leader and the final fault
 RECOVERY_S = 15.0      # Recovery
 JUDGED_S = 8.0
 ORDERS_PER_S = 20      # of each tenant at each edge machine: 60 a second, of a rate of 100
@@ -74,10 +76,11 @@
     leader = await deployment.find_leader()
     led = {leader.name}
     deployment.note(f"{leader.name} leads")
-    for _ in range(6 if is_trouble() else 0):
+    for _ in range(MAX_FREEZES if is_trouble() else 0):
         if len(led) == len(deployment.controls):
             break
         await deployment.freeze(leader)
+        await asyncio.sleep(CATCH_UP_S)
         leader = await deployment.find_leader()
         led.add(leader.name)
         deployment.note(f"{leader.name} leads")
