--- a/review/6/case.py
+++ b/review/6/case.py
@@ -49,7 +49,7 @@
         await backend.start()
         deployment.spawn(backend.announce())
     routes = [("/stock/", "safe", "stock", 2, 1000)]
-    if await deployment.put_config(1, 0, {"a": ["key-a"]}, routes, ["stock"], for_s=10.0) != 200:
+    if await deployment.put_config(1, 0, {"a": (["key-a"], 0, 0)}, routes, ["stock"], for_s=10.0) != 200:
         return COULD_NOT_RUN
     if not await wait_until_served(deployment, "/stock/0", "key-a"):
         record.write("could not run: the deployment does not serve")
@@ -63,7 +63,7 @@
         deployment.spawn(other_writer(deployment, record))
     calling = deployment.spawn(caller(deployment, during))
     await asyncio.sleep(TROUBLE_S / 2)
-    status = await deployment.put_config(2, 1, {"a": ["key-a"], "b": ["key-b"]}, routes, ["stock"])
+    status = await deployment.put_config(2, 1, {"a": (["key-a"], 0, 0), "b": (["key-b"], 0, 0)}, routes, ["stock"])
     await asyncio.sleep(TROUBLE_S / 2)
     calling.cancel()
     record.write(f"answers in the {TROUBLE_S:.0f} s after, by status (0: none): {during}; "
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -132,6 +132,10 @@
     def control(self):
         return f"{self.ip}:{self.deployment.port + 1}"
 
+    @property
+    def directory(self):
+        return f"{self.ip}:{self.deployment.port + 2}"
+
     async def start(self, is_first_start=False):
         path = self.deployment.folder / f"{self.name}.toml"
         path.write_text(self.settings(is_first_start), encoding="utf-8")
@@ -216,8 +220,8 @@
             await asyncio.sleep(0.2)
         return last, b""
 
-    async def put_config(self, version, base, keys, routes, services, for_s=4.0):
-        """`keys`: workspace -> keys; `routes`: (prefix, kind, service, attempts, timeout in ms)."""
+    async def put_config(self, version, base, workspaces, routes, services, for_s=4.0):
+        """`workspaces`: name -> (keys, rate, burst); `routes`: (prefix, kind, service, attempts, timeout in ms)."""
         rules = [{"Name": f"r{number}", "Kind": kind, "Aim": "400ms", "Priority": 1, "AllowAnonymous": False,
                   "Sticky": False, "Match": {"PathPrefix": prefix},
                   "Action": {"Service": service, "Timeout": f"{timeout}ms", "MaxAttempts": attempts,
@@ -226,8 +230,8 @@
         config = {"Version": f"r{version}", "BaseVersion": f"r{base}" if base else 0,
                   "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeout": "3000ms",
                              "IdleTimeout": "15000ms"},
-                  "Tenants": [{"Name": name, "ApiKeys": list(held), "Priority": 1, "RatePerS": 0, "Burst": 0,
-                               "AllowedRegions": []} for name, held in keys.items()],
+                  "Tenants": [{"Name": name, "ApiKeys": keys, "Priority": 1, "RatePerS": rate, "Burst": burst,
+                               "AllowedRegions": []} for name, (keys, rate, burst) in workspaces.items()],
                   "Listeners": [{"Host": HOST, "Rules": rules}],
                   "Clusters": [{"Name": name, "HealthCheckPath": "/healthz", "MaxConnections": 780, "Protocol": "h1",
                                 "Tls": False, "Warmup": "3s", "WarmupPerS": 16.0} for name in services]}
@@ -359,12 +363,12 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run_case(case, record_path):
+def run_case(case, record_path, entries=4):
     """Runs a case within its time and exits with its outcome."""
     record = Record(record_path)
 
     async def main():
-        deployment = Deployment(record)
+        deployment = Deployment(record, entries=entries)
         try:
             async with asyncio.timeout(110):
                 return await case(deployment, record)
