--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -267,6 +267,7 @@
         self.is_up = False
         self.control = deployment.controls[number % len(deployment.controls)]
         self.runs = []          # (time, request id, path, workspace)
+        self.runs_by = []       # the same with the identity of the incarnation in front
         self.crashing = None    # path whose requests crash the server when it begins to run them
 
     async def start(self):
@@ -290,6 +291,9 @@
             await self.start()
         self.deployment.spawn(come_back())
 
+    async def stay_silent(self, start):
+        """Called in place of an answer of a start that has crashed; returns when its connections may end."""
+
     async def announce(self):
         while True:
             if self.is_up:
@@ -315,6 +319,9 @@
         try:
             while True:
                 line, fields, _ = await read_message(reader)
+                if start != self.start_number or not self.is_up:
+                    await self.stay_silent(start)
+                    return
                 path = line.split()[1]
                 request = fields.get("request-id", "")
                 extra, body = "", request.encode()
@@ -324,12 +331,15 @@
                     status, extra = "503 Service Unavailable", "Not-Executed: 1\r\n"
                 else:
                     self.runs.append((time.monotonic(), request, path, fields.get("tenant-id", "")))
+                    self.runs_by.append((self.id, *self.runs[-1]))
                     if path == self.crashing:
                         self.crash(2.0)
+                        await self.stay_silent(start)
                         return
                     self.running += 1
                     await asyncio.sleep(self.work_s)
                     if start != self.start_number or not self.is_up:
+                        await self.stay_silent(start)
                         return
                     self.running -= 1
                     status, extra = "200 OK", f"Server-Signature: {self.id}\r\n"
