--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -291,6 +291,12 @@
             await self.start()
         self.deployment.spawn(come_back())
 
+    def warmup_left_s(self):
+        return 0.0
+
+    def begin(self, request):
+        """Called when a request begins to run."""
+
     async def stay_silent(self, start):
         """Called in place of an answer of a start that has crashed; returns when its connections may end."""
 
@@ -303,7 +309,8 @@
     async def tell(self, path, state):
         self.sequence += 1
         body = json.dumps({"Service": self.service, "Address": f"{self.ip}:{self.port}", "Zone": self.zone,
-                           "Version": "v1", "Slots": self.slots, "State": state, "WarmupLeft": "0ms",
+                           "Version": "v1", "Slots": self.slots, "State": state,
+                           "WarmupLeft": f"{self.warmup_left_s() * 1000:.0f}ms",
                            "Seq": self.sequence, "born": self.born}).encode()
         controls = self.deployment.controls
         for _ in controls:
@@ -325,6 +332,11 @@
                 path = line.split()[1]
                 request = fields.get("request-id", "")
                 extra, body = "", request.encode()
+                if path == "/healthz":
+                    writer.write(f"HTTP/1.1 200 OK\r\nInstance-Id: {self.id}\r\nWarmup-Ms: "
+                                 f"{self.warmup_left_s() * 1000:.0f}\r\nContent-Length: 0\r\n\r\n".encode())
+                    await writer.drain()
+                    continue
                 if fields.get("expect-instance", self.id) != self.id:
                     status = "421 Misdirected Request"
                 elif self.running >= self.slots:
@@ -332,6 +344,7 @@
                 else:
                     self.runs.append((time.monotonic(), request, path, fields.get("tenant-id", "")))
                     self.runs_by.append((self.id, *self.runs[-1]))
+                    self.begin(request)
                     if path == self.crashing:
                         self.crash(2.0)
                         await self.stay_silent(start)
