--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -158,6 +158,8 @@
                 self.own_ends += 1
                 self.deployment.record.write(f"{self.name} ended by itself, exit {code}; last line: {self.last_line()}")
             await asyncio.sleep(RESTART_DELAY_S)
+            if self.is_stopping:
+                return
             await self.start()
             self.deployment.record.write(f"{self.name} is started again")
 
@@ -196,6 +198,9 @@
     async def stop(self):
         for process in self.controls + self.entries:
             process.is_stopping = True
+        # Starts that are under way end first; supervise() begins no others.
+        await asyncio.sleep(0.2)
+        for process in self.controls + self.entries:
             if process.handle and process.handle.returncode is None:
                 process.handle.kill()
                 await process.handle.wait()
@@ -345,6 +350,8 @@
                     self.runs.append((time.monotonic(), request, path, fields.get("tenant-id", "")))
                     self.runs_by.append((self.id, *self.runs[-1]))
                     self.begin(request)
+                    if not self.is_up:
+                        return
                     if path == self.crashing:
                         self.crash(2.0)
                         await self.stay_silent(start)
