Refuse requests with oversized chunk lines or trailers instead of ending the process

Cause: the parser of the HTTP library limits neither the fields after the last chunk nor chunk lines, and throws at a field of 64 KB. http_session passed the exception on to the run loop, which ends a control process because the replicated state may be half changed. Ruled out: the body of the heartbeat (refused with 400) and damaged messages of ordinary size (the fuzz tests end no process).

Change: a size at which the parser throws, and 16 KB without progress after the header, are refused with 431. Such refusals are logged as request_rejected and counted.

--- a/src/citronpulley/gateway/control_gateway.cpp
+++ b/src/citronpulley/gateway/control_gateway.cpp
@@ -113,6 +113,7 @@
     return limits;
   };
   mSessionContext->mOnRequest = [this](const request_ptr& aRequest) { HandleRequest(aRequest); };
+  mSessionContext->mOnRejected = [this](unsigned aStatus) { RecordRejected(aStatus); };
 }
 
 control_gateway::~control_gateway() = default;
--- a/src/citronpulley/gateway/control_gateway.h
+++ b/src/citronpulley/gateway/control_gateway.h
@@ -92,6 +92,8 @@
   void ReceiveMessage(const fleet_message& aMessage, const fleet_bus::send_reply& aReply);
   /** Logs how long an accepted or failed order of an operator or a backend server took. */
   void LogOrder(const inbound_request& aRequest, std::optional<fleet_outcome> aOutcome);
+  /** Counts and logs a call that was refused before it was read completely. */
+  void RecordRejected(unsigned aStatus);
   void LogLoad(instant aNow);
   void Tick();
   void WaitForSignal();
@@ -114,6 +116,7 @@
   boost::asio::signal_set mSignals;
   boost::asio::steady_timer mTimer;
   thread_load mLoad;
+  std::uint64_t mRejectedRequests = 0;
   /** Time for which the timer is set; empty before the first tick. */
   std::optional<instant> mTickDueAt;
   instant mNextHousekeepingAt;
--- a/src/citronpulley/gateway/control_gateway_reporting.cpp
+++ b/src/citronpulley/gateway/control_gateway_reporting.cpp
@@ -36,9 +36,19 @@
   mMetrics.SetGauge("group_messages_refused", static_cast<double>(group.CountRefusedMessages()));
   mMetrics.SetGauge("frames_refused", static_cast<double>(mBus.CountRefused()));
   mMetrics.SetGauge("entry_vms", static_cast<double>(mControl->ListEntryVms(GetBootTime()).size()));
+  mMetrics.SetGauge("requests_rejected", static_cast<double>(mRejectedRequests));
   mMetrics.SetGauge("log_lines_left_out", static_cast<double>(mLog.CountDroppedLines()));
 }
 
+void control_gateway::RecordRejected(unsigned aStatus)
+{
+  ++mRejectedRequests;
+  const instant now = GetBootTime();
+  if (mLog.TryReserveLine(event_class::Failure, now)) {
+    mLog.Write("request_rejected", { { "status", static_cast<int>(aStatus) } }, now);
+  }
+}
+
 void control_gateway::LogOrder(const inbound_request& aRequest,
                                std::optional<fleet_outcome> aOutcome)
 {
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -116,6 +116,7 @@
   mCallerContext->mOnRequest = [this](const auto& aRequest) {
     HandleRequest(aRequest, std::nullopt);
   };
+  mCallerContext->mOnRejected = [this](unsigned aStatus) { RecordRejected(aStatus); };
   mCallerListener.SetMaxSessions(GetDescriptorLimit() / 4 * 3);
   mCallerListener.SetOnAcceptFailed([this](const std::string& aReason) {
     const instant now = GetBootTime();
@@ -132,6 +133,7 @@
     return limits;
   };
   mRelayContext->mBudget = mBudget;
+  mRelayContext->mOnRejected = mCallerContext->mOnRejected;
   mRelayContext->mOnRequest = [this](const auto& aRequest) { HandleRelayedRequest(aRequest); };
 }
 
--- a/src/citronpulley/gateway/entry_gateway.h
+++ b/src/citronpulley/gateway/entry_gateway.h
@@ -165,6 +165,8 @@
                         instant aNow);
   std::string GetRequestId(const http_request& aRequest) const;
   void LogLoad(instant aNow);
+  /** Counts and logs a request that was refused before it was read completely. */
+  void RecordRejected(unsigned aStatus);
   void RefreshGauges();
   void SuspectCrash(const exchange& aExchange);
   digest ComputeFingerprint(const http_request& aRequest, const workspace_name& aWorkspace) const;
@@ -209,6 +211,7 @@
   /** Set by the stop signal. */
   std::optional<stop_schedule> mStop;
   std::uint64_t mUnreadableStatements = 0;
+  std::uint64_t mRejectedRequests = 0;
 };
 
 } // namespace citronpulley
--- a/src/citronpulley/gateway/entry_gateway_reporting.cpp
+++ b/src/citronpulley/gateway/entry_gateway_reporting.cpp
@@ -167,6 +167,15 @@
   }
 }
 
+void entry_gateway::RecordRejected(unsigned aStatus)
+{
+  ++mRejectedRequests;
+  const instant now = GetBootTime();
+  if (mLog.TryReserveLine(event_class::Failure, now)) {
+    mLog.Write("request_rejected", { { "status", static_cast<int>(aStatus) } }, now);
+  }
+}
+
 void entry_gateway::LogAnswer(const exchange& aExchange,
                               unsigned aStatus,
                               const std::optional<load_report>& aLoad,
@@ -262,6 +271,7 @@
                     static_cast<double>(mCallerListener.CountEvicted()));
   mMetrics.SetGauge("services_cut_off", static_cast<double>(mSteering.CountCutOff()));
   mMetrics.SetGauge("frames_refused", static_cast<double>(mBus.CountRefused()));
+  mMetrics.SetGauge("requests_rejected", static_cast<double>(mRejectedRequests));
   mMetrics.SetGauge("log_lines_left_out", static_cast<double>(mLog.CountDroppedLines()));
 }
 
--- a/src/citronpulley/gateway/http_session.cpp
+++ b/src/citronpulley/gateway/http_session.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <utility>
 
@@ -23,6 +24,11 @@
 constexpr std::size_t kReadChunkBytes = 4'096;
 /** A request is held twice: as received, and as sent to a backend server. */
 constexpr std::size_t kRequestCopies = 2;
+/**
+ * Maximum size of the bytes between two parts of a chunked body, or after the last one. Neither
+ * limit of the parser covers them, and it searches them again with each read.
+ */
+constexpr std::size_t kMaxChunkLineBytes = 16'384;
 /** Delay after which a caller may repeat a request that found no memory, in seconds. */
 constexpr const char* kMemoryRetryAfter = "0.5";
 
@@ -37,6 +43,27 @@
   return 400;
 }
 
+using request_parser = http::request_parser<http::string_body>;
+
+/**
+ * Passes bytes to the parser.
+ *
+ * @param aError `header_limit` also for a field that is too large for the parser to store, at which
+ * it throws
+ * @return number of bytes that the parser used
+ */
+std::size_t Parse(request_parser& aParser,
+                  const asio::const_buffer& aBytes,
+                  beast::error_code& aError)
+{
+  try {
+    return aParser.put(aBytes, aError);
+  } catch (const std::length_error&) {
+    aError = http::error::header_limit;
+    return 0;
+  }
+}
+
 http_request ToRequest(http::request<http::string_body>&& aMessage)
 {
   http_request request;
@@ -76,7 +103,7 @@
 struct http_session::parser_state
 {
   beast::flat_buffer mBuffer;
-  std::optional<http::request_parser<http::string_body>> mMessage;
+  std::optional<request_parser> mMessage;
   bool mHasSentContinue = false;
   bool mWantsClose = false;
 };
@@ -173,12 +200,19 @@
     mRequestStartedAt = mLastActivityAt;
   }
   beast::error_code error;
-  const std::size_t used = state.mMessage->put(state.mBuffer.data(), error);
+  const std::size_t used = Parse(*state.mMessage, state.mBuffer.data(), error);
   state.mBuffer.consume(used);
   if (error && error != http::error::need_more) {
     RejectRequest(GetHttpStatus(error));
     return false;
   }
+  const bool isChunkLineTooLong = error == http::error::need_more &&
+                                  state.mMessage->is_header_done() &&
+                                  state.mBuffer.size() > kMaxChunkLineBytes;
+  if (isChunkLineTooLong) {
+    RejectRequest(GetHttpStatus(http::error::header_limit));
+    return false;
+  }
   if (!ReserveMemory()) {
     return false;
   }
@@ -222,6 +256,9 @@
 
 void http_session::RejectRequest(unsigned aStatus, http_fields aFields)
 {
+  if (mContext->mOnRejected) {
+    mContext->mOnRejected(aStatus);
+  }
   mIsClosing = true;
   mParser->mBuffer.consume(mParser->mBuffer.size());
   mParser->mMessage.reset();
--- a/src/citronpulley/gateway/http_session.h
+++ b/src/citronpulley/gateway/http_session.h
@@ -74,6 +74,8 @@
    * in progress.
    */
   bool mIsStopping = false;
+  /** Called with the status when a request is refused before it was read completely. */
+  std::function<void(unsigned aStatus)> mOnRejected{};
 };
 
 /**
--- a/tests/gateway/http_session_test.cpp
+++ b/tests/gateway/http_session_test.cpp
@@ -130,3 +130,52 @@
   }
   LONGS_EQUAL(0, mRequests);
 }
+
+/**
+ * Guards against one message that ends the process: the parser throws at a field of 64 KB, and its
+ * limit of the header does not cover the fields after the last chunk.
+ */
+TEST(http_session, refuses_a_field_of_64_kb_after_the_last_chunk)
+{
+  Exchange("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX-Sum: " +
+             std::string(70'000, 'x') + "\r\n\r\n",
+           "\r\n\r\n");
+  STRNCMP_EQUAL("HTTP/1.1 431", mReceived.c_str(), 12);
+  LONGS_EQUAL(0, mRequests);
+}
+
+/** Guards against a chunk line without end, which takes memory and is searched with each read. */
+TEST(http_session, refuses_a_chunk_line_without_end)
+{
+  Exchange("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;" + std::string(40'000, 'x'),
+           "\r\n\r\n");
+  STRNCMP_EQUAL("HTTP/1.1 431", mReceived.c_str(), 12);
+  LONGS_EQUAL(0, mRequests);
+}
+
+/** Guards against the same exception at a field within the operator's limit of the header. */
+TEST(http_session, refuses_a_header_field_that_the_parser_cannot_store)
+{
+  mContext->mLimits = [] {
+    caller_limits limits;
+    limits.mMaxHeaderBytes = 200'000;
+    return limits;
+  };
+  Exchange("GET / HTTP/1.1\r\nX-Sum: " + std::string(70'000, 'x') + "\r\n\r\n", "\r\n\r\n");
+  STRNCMP_EQUAL("HTTP/1.1 431", mReceived.c_str(), 12);
+  LONGS_EQUAL(0, mRequests);
+}
+
+/** Guards against a bound on chunk lines that refuses a body in many chunks, or fields after it. */
+TEST(http_session, accepts_a_chunked_body_with_fields_after_it)
+{
+  std::string chunks;
+  for (int i = 0; i < 2'000; ++i) {
+    chunks += "10\r\n0123456789abcdef\r\n";
+  }
+  Exchange("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks +
+             "0\r\nX-Sum: " + std::string(8'000, 'x') + "\r\n\r\n",
+           "cdef");
+  STRNCMP_EQUAL("HTTP/1.1 200", mReceived.c_str(), 12);
+  LONGS_EQUAL(1, mRequests);
+}
