Bound the bytes that wait for the HTTP parser in the own interface

Change: at most 60,000 bytes wait for the parser. A request beyond that is refused with headers_too_large, a response ends as an error. A header above 60,000 bytes is refused also where max_header_bytes is larger.

--- a/src/citronpulley/runtime/backend_client.cpp
+++ b/src/citronpulley/runtime/backend_client.cpp
@@ -1,6 +1,7 @@
 #include "citronpulley/runtime/backend_client.h"
 
 #include "citronpulley/runtime/event_loop_thread.h"
+#include "citronpulley/runtime/http_fields.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -195,7 +196,8 @@
 
   void HandleRead(const beast::error_code& aFailure)
   {
-    if (aFailure == http::error::body_limit || aFailure == http::error::header_limit) {
+    if (aFailure == http::error::body_limit || aFailure == http::error::header_limit ||
+        aFailure == http::error::buffer_overflow) {
       Fail(
         error_code::BadBackendAnswer, step::ReadFromBackend, "the answer exceeds the limit", true);
       return;
@@ -253,7 +255,7 @@
   microseconds mRemaining;
   std::chrono::steady_clock::time_point mStartedAt;
   std::unique_ptr<beast::tcp_stream> mStream;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
   http::request<http::string_body> mRequest;
   std::optional<http::response_parser<http::string_body>> mParser;
   bool mIsClosed = false;
--- a/src/citronpulley/runtime/http_client.cpp
+++ b/src/citronpulley/runtime/http_client.cpp
@@ -1,5 +1,7 @@
 #include "citronpulley/runtime/http_client.h"
 
+#include "citronpulley/runtime/http_fields.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -60,7 +62,7 @@
   request.body() = aRequest.mBody;
   request.keep_alive(false);
   request.prepare_payload();
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxAnswerBytes);
   step currentStep = step::Connect;
--- a/src/citronpulley/runtime/http_server.cpp
+++ b/src/citronpulley/runtime/http_server.cpp
@@ -41,7 +41,7 @@
       aFailure == asio::error::operation_aborted) {
     return std::nullopt;
   }
-  if (aFailure == http::error::header_limit) {
+  if (aFailure == http::error::header_limit || aFailure == http::error::buffer_overflow) {
     return MakeRefusal(error_code::HeadersTooLarge, "the headers exceed the limit");
   }
   if (aFailure == http::error::body_limit) {
@@ -244,7 +244,7 @@
   beast::tcp_stream mStream;
   asio::steady_timer mReadTimer;
   std::shared_ptr<impl> mServer;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
   std::optional<http::request_parser<http::string_body>> mParser;
   http::response<http::string_body> mResponse;
   std::uint64_t mRequest = 0;
--- a/tests/runtime/http_server_test.cpp
+++ b/tests/runtime/http_server_test.cpp
@@ -135,6 +135,18 @@
   CHECK(Contains(answer, "\"outcome\":\"not_run\""));
 }
 
+/**
+ * Guards against one request that ends the daemon: the parser throws at a field of 64 KB after the
+ * last chunk, and no other limit covers these fields.
+ */
+TEST(http_server, refuses_a_field_of_64_kb_after_the_last_chunk)
+{
+  CHECK(Contains(Exchange("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                          "2\r\n{}\r\n0\r\nX-Sum: " +
+                          std::string(70'000, 'x') + "\r\n\r\n"),
+                 "headers_too_large"));
+}
+
 /** Guards against clients that occupy a connection by sending a request slowly. */
 TEST(http_server, refuses_a_request_that_does_not_arrive_in_time)
 {
