Count crashes of backend servers that fall silent

Cause: an entry VM looked for a crash only when a connection ended. A silent machine ends none; the attempt ended as timed_out, so the leader never heard of a crash. A connection that is reset when the machine is back did not count either, because the probe then reaches the new process.

Change: crash_monitor keeps requests that got no response, by process start, and counts them as a crash once the leader's list names a later start with the same identity or address. A start that responds again or leaves as planned clears them. Notices and updates keep their form.

backend_pool::FindRecord replaces FindAddress and FindService. The fingerprint of a request is computed without a copy of its body. OPERATIONS: field evidence of backend_crashed in place of address, gauge crash_suspicions.

--- a/src/citronpulley/base/digest.cpp
+++ b/src/citronpulley/base/digest.cpp
@@ -21,6 +21,18 @@
   return value;
 }
 
+digest ComputeDigest(std::initializer_list<std::string_view> aParts) noexcept
+{
+  digest value;
+  crypto_generichash_state state;
+  crypto_generichash_init(&state, nullptr, 0, value.mBytes.size());
+  for (const std::string_view part : aParts) {
+    crypto_generichash_update(&state, ToBytes(part), part.size());
+  }
+  crypto_generichash_final(&state, value.mBytes.data(), value.mBytes.size());
+  return value;
+}
+
 std::string ToHex(const digest& aDigest)
 {
   std::string text(aDigest.mBytes.size() * 2 + 1, '\0');
--- a/src/citronpulley/base/digest.h
+++ b/src/citronpulley/base/digest.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,9 @@
 /** @return the unkeyed digest of the bytes */
 digest ComputeDigest(std::string_view aBytes) noexcept;
 
+/** @return the unkeyed digest of the parts one after the other */
+digest ComputeDigest(std::initializer_list<std::string_view> aParts) noexcept;
+
 /** @return the digest as 32 hexadecimal digits */
 std::string ToHex(const digest& aDigest);
 
--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -278,6 +278,10 @@
   run_time_estimate& runTime = mRunTimes[aTicket.mRoute->mName];
   mPool.RecordEnd(
     aPlacement.mBackend, aOutcome, aLoad, aTook, runTime.GetSlowness(aTook, aLoad), aNow);
+  if (aOutcome == attempt_outcome::Answered || aOutcome == attempt_outcome::Failed ||
+      aOutcome == attempt_outcome::NotExecuted) {
+    mCrashMonitor.ClearSuspicion({ aPlacement.mBackend, aPlacement.mStartedAtMs });
+  }
   if (aOutcome == attempt_outcome::Answered) {
     runTime.Record(aTook, aLoad);
     return next_step::ForwardResponse;
@@ -308,14 +312,41 @@
   return aTicket.mMayHaveRun ? next_step::Fail : next_step::Refuse;
 }
 
-void entry_steering::RecordCrash(const digest& aFingerprint,
-                                 const std::string& aBackend,
-                                 const service_name& aService)
+void entry_steering::RecordCrash(const backend_crash& aCrash)
 {
+  mCrashMonitor.ClearSuspicion(aCrash.mStart);
   // A VM that does not reach a service cannot tell a crash from its own lost connections.
-  const bool isReachable = mReach.GetReach(aService) == reach::Reachable;
-  if (isReachable && mCrashes.size() < kMaxCrashNotices) {
-    mCrashes.push_back({ aFingerprint, aBackend });
+  if (mReach.GetReach(aCrash.mService) != reach::Reachable) {
+    return;
+  }
+  for (const digest& fingerprint : aCrash.mRequests) {
+    if (mCrashes.size() < kMaxCrashNotices) {
+      mCrashes.push_back({ fingerprint, ToString(aCrash.mStart) });
+    }
+  }
+}
+
+void entry_steering::AddFoundCrash(const backend_crash& aCrash)
+{
+  RecordCrash(aCrash);
+  if (mFoundCrashes.size() < kMaxCrashNotices) {
+    mFoundCrashes.push_back(aCrash);
+  }
+}
+
+void entry_steering::RecordUnanswered(const admission_ticket& aTicket,
+                                      const placement& aPlacement,
+                                      const digest& aFingerprint,
+                                      instant aNow)
+{
+  const service_name& service = aTicket.mPlacement.mService;
+  if (mReach.GetReach(service) != reach::Reachable) {
+    return;
+  }
+  const backend_start start{ aPlacement.mBackend, aPlacement.mStartedAtMs };
+  if (const std::optional<backend_crash> crash =
+        mCrashMonitor.RecordUnanswered(start, service, aFingerprint, aNow)) {
+    AddFoundCrash(*crash);
   }
 }
 
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -6,7 +6,9 @@
 #include "citronpulley/fleet/fleet_message.h"
 #include "citronpulley/fleet/relay_pool.h"
 #include "citronpulley/limits/retry_budget.h"
+#include "citronpulley/steering/backend_crash.h"
 #include "citronpulley/steering/backend_pool.h"
+#include "citronpulley/steering/crash_monitor.h"
 #include "citronpulley/steering/reach_monitor.h"
 #include "citronpulley/steering/route_index.h"
 #include "citronpulley/steering/run_time_estimate.h"
@@ -20,6 +22,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -337,12 +340,29 @@
                              microseconds aTook,
                              instant aNow);
 
+  /** Records a crash of which the connections of a backend server tell, for the next report. */
+  void RecordCrash(const backend_crash& aCrash);
+
   /**
-   * Records a request that was running on a backend server when it crashed, for the next report.
+   * Records that an attempt ended without a response, by its connection, its deadline or its
+   * caller. It counts as a crash once a later process start replaces the one that had the request.
    */
-  void RecordCrash(const digest& aFingerprint,
-                   const std::string& aBackend,
-                   const service_name& aService);
+  void RecordUnanswered(const admission_ticket& aTicket,
+                        const placement& aPlacement,
+                        const digest& aFingerprint,
+                        instant aNow);
+
+  /** Records that a backend server ran a request and responded, so that it does not crash it. */
+  void RecordAnswered(const digest& aFingerprint, instant aNow)
+  {
+    mCrashMonitor.RecordAnswered(aFingerprint, aNow);
+  }
+
+  /** Removes and returns the crashes found by a replaced process start, for the log. */
+  std::vector<backend_crash> DrainFoundCrashes() { return std::exchange(mFoundCrashes, {}); }
+
+  /** @return number of process starts that may have crashed */
+  std::size_t CountCrashSuspicions() const noexcept { return mCrashMonitor.CountSuspicions(); }
 
   /** Adjusts the spill to other regions; call it regularly. */
   void Tick(instant aNow) { mPool.AdaptSpill(aNow); }
@@ -377,6 +397,14 @@
   /** Records that a connection to a backend server failed. */
   void RecordUnreached(admission_ticket& aTicket, const placement& aPlacement, instant aNow);
 
+  /**
+   * @param aSnapshot decoded list of the update
+   * @return known process starts that did not leave as planned and that others of the list replace
+   */
+  std::vector<backend_start> ListReplaced(const entry_update& aUpdate,
+                                          const std::vector<backend_record>& aSnapshot) const;
+  /** Records a crash for the next report and for the log. */
+  void AddFoundCrash(const backend_crash& aCrash);
   void AddLimits(entry_report& aReport, instant aNow);
   /** @param aChanges decoded changes of the update */
   void UpdateStatuses(const entry_update& aUpdate,
@@ -417,6 +445,8 @@
   std::uint64_t mStatusRevision = 0;
   /** By the hash of the identity. */
   std::map<std::uint64_t, told_status> mStatuses;
+  crash_monitor mCrashMonitor;
+  std::vector<backend_crash> mFoundCrashes;
   std::vector<crash_notice> mCrashes;
   std::set<digest> mQuarantined;
   /** Run time of each route, by its name. */
--- a/src/citronpulley/fleet/entry_steering_relays.cpp
+++ b/src/citronpulley/fleet/entry_steering_relays.cpp
@@ -102,8 +102,8 @@
   for (const service_name& service : mReach.ListWatched()) {
     for (const std::string& backend :
          mReach.StartProbes(service, mPool.ListAccepting(service), aNow)) {
-      if (const server_name* address = mPool.FindAddress(backend)) {
-        probes.push_back({ service, backend, *address });
+      if (const backend_record* record = mPool.FindRecord(backend)) {
+        probes.push_back({ service, backend, record->mAddress });
       }
     }
   }
--- a/src/citronpulley/fleet/entry_steering_updates.cpp
+++ b/src/citronpulley/fleet/entry_steering_updates.cpp
@@ -44,8 +44,8 @@
     backend_observation observation;
     observation.mBackend = seen.mBackend;
     observation.mTally = seen.mTally;
-    const service_name* service = mPool.FindService(seen.mBackend);
-    if (service != nullptr && mReach.GetReach(*service) != reach::Reachable) {
+    const backend_record* record = mPool.FindRecord(seen.mBackend);
+    if (record != nullptr && mReach.GetReach(record->mService) != reach::Reachable) {
       // Failures of this VM's own connections say nothing about the backend server.
       observation.mTally.mFailures = 0;
     }
@@ -206,10 +206,62 @@
   }
 }
 
+std::vector<backend_start> entry_steering::ListReplaced(
+  const entry_update& aUpdate,
+  const std::vector<backend_record>& aSnapshot) const
+{
+  std::vector<backend_start> replaced;
+  std::set<std::string> listed;
+  std::map<server_name, const backend_record*> byAddress;
+  const auto addKnownStart = [&](const std::string& aBackend, const backend_record* aSuccessor) {
+    const backend_record* known = mPool.FindRecord(aBackend);
+    if (known == nullptr || aSuccessor == nullptr || known->mIsLeaving ||
+        known->mStartedAtMs >= aSuccessor->mStartedAtMs) {
+      return;
+    }
+    const bool hasDeparted =
+      std::ranges::any_of(aUpdate.mDepartures, [known](const record_departure& aDeparture) {
+        return aDeparture.mBackend == known->mId && aDeparture.mStartedAtMs >= known->mStartedAtMs;
+      });
+    if (!hasDeparted) {
+      replaced.push_back({ known->mId, known->mStartedAtMs });
+    }
+  };
+  for (const std::vector<backend_record>* records : { &aSnapshot, &aUpdate.mBackends }) {
+    for (const backend_record& record : *records) {
+      listed.insert(record.mId);
+      byAddress[record.mAddress] = &record;
+      addKnownStart(record.mId, &record);
+    }
+  }
+  if (byAddress.empty()) {
+    return replaced;
+  }
+  // With a full list, the removals name backend servers that left.
+  std::set<std::string> unlisted(aUpdate.mRemoved.begin(), aUpdate.mRemoved.end());
+  if (aUpdate.mIsWholeList) {
+    unlisted = mPool.ListMissing(listed);
+    for (const std::string& id : aUpdate.mRemoved) {
+      unlisted.erase(id);
+    }
+  }
+  for (const std::string& id : unlisted) {
+    const backend_record* known = mPool.FindRecord(id);
+    const auto successor = known == nullptr ? byAddress.end() : byAddress.find(known->mAddress);
+    addKnownStart(id, successor == byAddress.end() ? nullptr : successor->second);
+  }
+  return replaced;
+}
+
 void entry_steering::UpdateBackends(const entry_update& aUpdate,
                                     std::vector<backend_record> aSnapshot,
                                     instant aNow)
 {
+  for (const backend_start& start : ListReplaced(aUpdate, aSnapshot)) {
+    if (const std::optional<backend_crash> crash = mCrashMonitor.HandleReplaced(start, aNow)) {
+      AddFoundCrash(*crash);
+    }
+  }
   std::set<std::string> listed;
   for (backend_record& record : aSnapshot) {
     record.mColdForMs =
--- a/src/citronpulley/gateway/entry_gateway.cpp
+++ b/src/citronpulley/gateway/entry_gateway.cpp
@@ -211,6 +211,9 @@
   mRelayConnector.CheckTimeouts(now);
   StartProbes(now);
   mSteering.Tick(now);
+  for (const backend_crash& crash : mSteering.DrainFoundCrashes()) {
+    LogCrash(crash, "replaced");
+  }
   mSubscription.Tick(!mStop, now);
   if (mNextHousekeepingAt <= now) {
     mNextHousekeepingAt = now + kIdleTick;
@@ -330,9 +333,7 @@
                  { "message_memory_bytes", static_cast<std::uint64_t>(mBudget->GetUsedBytes()) } },
                now);
   }
-  if (aEnd == channel_end::Lost) {
-    SuspectCrash(*aExchange);
-  }
+  RecordRun(*aExchange, aEnd, outcome);
   RecordStatements(*aExchange, outcome, aResponse, now);
   const next_step next = mSteering.HandleAttemptEnd(aExchange->mTicket,
                                                     aExchange->mPlacement,
@@ -450,6 +451,7 @@
     LogFailedAttempt(aExchange, ToString(aOutcome), 0, ToString(next_step::Fail), aNow);
     return;
   }
+  RecordRun(aExchange, std::nullopt, aOutcome);
   mSteering.HandleAttemptEnd(
     aExchange.mTicket, aExchange.mPlacement, aOutcome, std::nullopt, duration, aNow);
   mMetrics.RecordAttempt(ToString(aOutcome), duration);
--- a/src/citronpulley/gateway/entry_gateway.h
+++ b/src/citronpulley/gateway/entry_gateway.h
@@ -83,14 +83,6 @@
 
   using exchange_ptr = std::shared_ptr<exchange>;
 
-  /** Requests that lost the connection to one backend server whose crash check is pending. */
-  struct crash_suspicion
-  {
-    placement mPlacement;
-    service_name mService;
-    std::vector<digest> mFingerprints;
-  };
-
   void HandleRequest(const std::shared_ptr<inbound_request>& aRequest,
                      const std::optional<relayed_request>& aRelayed);
   /** Handles a request at the internal port, where only entry VMs send some. */
@@ -168,7 +160,17 @@
   /** Counts and logs a request that was refused before it was read completely. */
   void RecordRejected(unsigned aStatus);
   void RefreshGauges();
-  void SuspectCrash(const exchange& aExchange);
+  /**
+   * Records what the end of an attempt says about a crash of its backend server.
+   *
+   * @param aEnd empty when this VM ended the attempt
+   */
+  void RecordRun(const exchange& aExchange,
+                 std::optional<channel_end> aEnd,
+                 attempt_outcome aOutcome);
+  /** Finds out whether the backend server of a request that lost its connection has crashed. */
+  void CheckCrash(const exchange& aExchange, const digest& aFingerprint);
+  void LogCrash(const backend_crash& aCrash, std::string_view aEvidence);
   digest ComputeFingerprint(const http_request& aRequest, const workspace_name& aWorkspace) const;
   void HandleReadyCall(const std::shared_ptr<inbound_request>& aRequest);
   void ScheduleTick();
@@ -203,7 +205,8 @@
   boost::asio::signal_set mSignals;
   boost::asio::steady_timer mTimer;
   std::set<exchange_ptr> mExchanges;
-  std::map<server_name, crash_suspicion> mCrashSuspicions;
+  /** Requests that lost the connection to a backend server whose crash check is pending. */
+  std::map<server_name, backend_crash> mCrashChecks;
   thread_load mLoad;
   /** Time for which the timer is set; empty before the first tick. */
   std::optional<instant> mTickDueAt;
--- a/src/citronpulley/gateway/entry_gateway_reporting.cpp
+++ b/src/citronpulley/gateway/entry_gateway_reporting.cpp
@@ -8,6 +8,12 @@
 
 namespace {
 
+/**
+ * Size of a body above which an answer is not remembered for crashes. Callers share small requests;
+ * the digest of a large one takes milliseconds.
+ */
+constexpr std::size_t kMaxSharedBodyBytes = 16'384;
+
 /** @return true when the response came from the backend server that the request was sent to */
 bool IsOwnAnswer(attempt_outcome aOutcome) noexcept
 {
@@ -31,10 +37,15 @@
 digest entry_gateway::ComputeFingerprint(const http_request& aRequest,
                                          const workspace_name& aWorkspace) const
 {
-  std::string text = aWorkspace.mValue;
-  text.append("\n").append(aRequest.mMethod).append("\n").append(aRequest.GetHost());
-  text.append("\n").append(aRequest.mTarget).append("\n").append(aRequest.mBody);
-  return ComputeDigest(text);
+  return ComputeDigest({ aWorkspace.mValue,
+                         "\n",
+                         aRequest.mMethod,
+                         "\n",
+                         aRequest.GetHost(),
+                         "\n",
+                         aRequest.mTarget,
+                         "\n",
+                         aRequest.mBody });
 }
 
 void entry_gateway::LogRefusal(const inbound_request& aRequest,
@@ -269,44 +280,65 @@
   mMetrics.SetGauge("accepts_failed", static_cast<double>(mCallerListener.CountFailedAccepts()));
   mMetrics.SetGauge("idle_connections_evicted",
                     static_cast<double>(mCallerListener.CountEvicted()));
+  mMetrics.SetGauge("crash_suspicions", static_cast<double>(mSteering.CountCrashSuspicions()));
   mMetrics.SetGauge("services_cut_off", static_cast<double>(mSteering.CountCutOff()));
   mMetrics.SetGauge("frames_refused", static_cast<double>(mBus.CountRefused()));
   mMetrics.SetGauge("requests_rejected", static_cast<double>(mRejectedRequests));
   mMetrics.SetGauge("log_lines_left_out", static_cast<double>(mLog.CountDroppedLines()));
 }
 
-void entry_gateway::SuspectCrash(const exchange& aExchange)
+void entry_gateway::RecordRun(const exchange& aExchange,
+                              std::optional<channel_end> aEnd,
+                              attempt_outcome aOutcome)
 {
-  const digest fingerprint =
-    ComputeFingerprint(aExchange.mRequest->mMessage, aExchange.mTicket.mWorkspace);
-  crash_suspicion& suspicion = mCrashSuspicions[aExchange.mPlacement.mAddress];
-  suspicion.mFingerprints.push_back(fingerprint);
-  if (suspicion.mFingerprints.size() > 1) {
+  const bool hasRun = aOutcome == attempt_outcome::Answered || aOutcome == attempt_outcome::Failed;
+  const bool isUnanswered = aEnd == channel_end::Lost || aOutcome == attempt_outcome::TimedOut ||
+                            aOutcome == attempt_outcome::Abandoned;
+  const http_request& message = aExchange.mRequest->mMessage;
+  if (!isUnanswered && (!hasRun || message.mBody.size() > kMaxSharedBodyBytes)) {
+    return;
+  }
+  const digest fingerprint = ComputeFingerprint(message, aExchange.mTicket.mWorkspace);
+  const instant now = GetBootTime();
+  if (hasRun) {
+    mSteering.RecordAnswered(fingerprint, now);
     return;
   }
-  suspicion.mPlacement = aExchange.mPlacement;
-  suspicion.mService = aExchange.mTicket.mPlacement.mService;
-  // A lost connection alone does not prove a crash; it counts as one only if the backend server
-  // cannot be reached any more.
-  mConnector.Probe(
-    suspicion.mPlacement.mAddress,
-    [this, address = suspicion.mPlacement.mAddress](bool aIsReachable) {
-      const auto found = mCrashSuspicions.extract(address);
-      if (found.empty() || aIsReachable) {
-        return;
-      }
-      const placement& placed = found.mapped().mPlacement;
-      const std::string start = placed.mBackend + "/" + std::to_string(placed.mStartedAtMs);
-      for (const digest& requestFingerprint : found.mapped().mFingerprints) {
-        mSteering.RecordCrash(requestFingerprint, start, found.mapped().mService);
-      }
-      mLog.Write(
-        "backend_crashed",
-        { { "backend", start },
-          { "address", address.mValue },
-          { "requests", static_cast<std::uint64_t>(found.mapped().mFingerprints.size()) } },
-        GetBootTime());
-    });
+  mSteering.RecordUnanswered(aExchange.mTicket, aExchange.mPlacement, fingerprint, now);
+  if (aEnd == channel_end::Lost) {
+    CheckCrash(aExchange, fingerprint);
+  }
+}
+
+void entry_gateway::CheckCrash(const exchange& aExchange, const digest& aFingerprint)
+{
+  const placement& placed = aExchange.mPlacement;
+  backend_crash& check = mCrashChecks[placed.mAddress];
+  check.mRequests.push_back(aFingerprint);
+  if (check.mRequests.size() > 1) {
+    return;
+  }
+  check.mStart = { placed.mBackend, placed.mStartedAtMs };
+  check.mService = aExchange.mTicket.mPlacement.mService;
+  // A lost connection alone does not prove a crash; it counts as one if the backend server cannot
+  // be reached any more, or once another process start replaces it.
+  mConnector.Probe(placed.mAddress, [this, address = placed.mAddress](bool aIsReachable) {
+    const auto found = mCrashChecks.extract(address);
+    if (found.empty() || aIsReachable) {
+      return;
+    }
+    mSteering.RecordCrash(found.mapped());
+    LogCrash(found.mapped(), "unreachable");
+  });
+}
+
+void entry_gateway::LogCrash(const backend_crash& aCrash, std::string_view aEvidence)
+{
+  mLog.Write("backend_crashed",
+             { { "backend", ToString(aCrash.mStart) },
+               { "evidence", aEvidence },
+               { "requests", static_cast<std::uint64_t>(aCrash.mRequests.size()) } },
+             GetBootTime());
 }
 
 } // namespace citronpulley
--- a/src/citronpulley/steering/backend_pool.h
+++ b/src/citronpulley/steering/backend_pool.h
@@ -285,11 +285,8 @@
   /** @return backend servers of a service that accept requests, with their zones */
   std::vector<reach_monitor::candidate> ListAccepting(const service_name& aService) const;
 
-  /** @return address of a backend server, or null when it is not known */
-  const server_name* FindAddress(const std::string& aBackend) const;
-
-  /** @return service of a backend server, or null when it is not known */
-  const service_name* FindService(const std::string& aBackend) const;
+  /** @return record of a backend server, or null when it is not known */
+  const backend_record* FindRecord(const std::string& aBackend) const;
 
   /**
    * @return true when a backend server could run the request, but connections to it failed lately
--- a/src/citronpulley/steering/backend_pool_reach.cpp
+++ b/src/citronpulley/steering/backend_pool_reach.cpp
@@ -21,16 +21,10 @@
   return list;
 }
 
-const server_name* backend_pool::FindAddress(const std::string& aBackend) const
+const backend_record* backend_pool::FindRecord(const std::string& aBackend) const
 {
   const auto found = mBackends.find(aBackend);
-  return found == mBackends.end() ? nullptr : &found->second.mRecord.mAddress;
-}
-
-const service_name* backend_pool::FindService(const std::string& aBackend) const
-{
-  const auto found = mBackends.find(aBackend);
-  return found == mBackends.end() ? nullptr : &found->second.mRecord.mService;
+  return found == mBackends.end() ? nullptr : &found->second.mRecord;
 }
 
 bool backend_pool::HasUnreachable(const placement_request& aRequest, instant aNow) const
--- a/tests/fleet/departure_test.cpp
+++ b/tests/fleet/departure_test.cpp
@@ -102,7 +102,7 @@
 
   bool Knows(int aNumber) const
   {
-    return mEntry.GetPool().FindAddress(GetId(aNumber)) != nullptr;
+    return mEntry.GetPool().FindRecord(GetId(aNumber)) != nullptr;
   }
 };
 
