Do not hold requests responsible for a crash that other backend servers answer

Cause: every request in progress at a crashed backend server is reported as a possible cause, three reports quarantine it, and nothing asks whether it runs well elsewhere. Ruled out: the route that was added later; it plays no part.

Messages stay as they are. The filter of silent crashes moves to the same place.

--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -108,6 +108,19 @@
   return best->mService;
 }
 
+bool entry_steering::IsQuarantined(const request_info& aRequest,
+                                   const workspace_name& aWorkspace,
+                                   instant aNow) const
+{
+  if (mQuarantined.empty()) {
+    return false;
+  }
+  const digest fingerprint = aRequest.mFingerprint(aWorkspace);
+  // Other VMs may hold a request responsible that they have seen only on backend servers that
+  // crashed.
+  return mQuarantined.contains(fingerprint) && !mCrashMonitor.IsAnsweredLately(fingerprint, aNow);
+}
+
 std::variant<admission_ticket, refusal> entry_steering::Admit(const request_info& aRequest,
                                                               instant aNow)
 {
@@ -145,7 +158,7 @@
     ticket.mPriority = workspace->mPriority.value_or(route->mPriority);
     ticket.mPlacement.mWorkspaceRegions = workspace->mPermittedRegions;
   }
-  if (!mQuarantined.empty() && mQuarantined.contains(aRequest.mFingerprint(ticket.mWorkspace))) {
+  if (IsQuarantined(aRequest, ticket.mWorkspace, aNow)) {
     return refusal{ refusal_reason::Quarantined, ticket.mWorkspace };
   }
   const bool isCounted = aRequest.mRelayed && aRequest.mRelayed->mIsMetered;
@@ -312,7 +325,7 @@
   return aTicket.mMayHaveRun ? next_step::Fail : next_step::Refuse;
 }
 
-void entry_steering::RecordCrash(const backend_crash& aCrash)
+void entry_steering::RecordCrash(const backend_crash& aCrash, instant aNow)
 {
   mCrashMonitor.ClearSuspicion(aCrash.mStart);
   // A VM that does not reach a service cannot tell a crash from its own lost connections.
@@ -320,15 +333,15 @@
     return;
   }
   for (const digest& fingerprint : aCrash.mRequests) {
-    if (mCrashes.size() < kMaxCrashNotices) {
+    if (mCrashes.size() < kMaxCrashNotices && !mCrashMonitor.IsAnsweredLately(fingerprint, aNow)) {
       mCrashes.push_back({ fingerprint, ToString(aCrash.mStart) });
     }
   }
 }
 
-void entry_steering::AddFoundCrash(const backend_crash& aCrash)
+void entry_steering::AddFoundCrash(const backend_crash& aCrash, instant aNow)
 {
-  RecordCrash(aCrash);
+  RecordCrash(aCrash, aNow);
   if (mFoundCrashes.size() < kMaxCrashNotices) {
     mFoundCrashes.push_back(aCrash);
   }
@@ -346,7 +359,7 @@
   const backend_start start{ aPlacement.mBackend, aPlacement.mStartedAtMs };
   if (const std::optional<backend_crash> crash =
         mCrashMonitor.RecordUnanswered(start, service, aFingerprint, aNow)) {
-    AddFoundCrash(*crash);
+    AddFoundCrash(*crash, aNow);
   }
 }
 
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -340,8 +340,11 @@
                              microseconds aTook,
                              instant aNow);
 
-  /** Records a crash of which the connections of a backend server tell, for the next report. */
-  void RecordCrash(const backend_crash& aCrash);
+  /**
+   * Records a crash of which the connections of a backend server tell, for the next report.
+   * Requests that were answered lately are left out.
+   */
+  void RecordCrash(const backend_crash& aCrash, instant aNow);
 
   /**
    * Records that an attempt ended without a response, by its connection, its deadline or its
@@ -384,6 +387,10 @@
   microseconds ComputeWaitLimit(const admission_ticket& aTicket,
                                 const placement& aPlacement,
                                 instant aNow) const;
+  /** @return true when the request crashes backend servers and this VM knows of no answer to it */
+  bool IsQuarantined(const request_info& aRequest,
+                     const workspace_name& aWorkspace,
+                     instant aNow) const;
   const service_name& PickService(const route_rule& aRoute);
   /** @return true when the configuration of the update is new and came into force */
   result<bool> UpdateConfig(const entry_update& aUpdate);
@@ -404,7 +411,7 @@
   std::vector<backend_start> ListReplaced(const entry_update& aUpdate,
                                           const std::vector<backend_record>& aSnapshot) const;
   /** Records a crash for the next report and for the log. */
-  void AddFoundCrash(const backend_crash& aCrash);
+  void AddFoundCrash(const backend_crash& aCrash, instant aNow);
   void AddLimits(entry_report& aReport, instant aNow);
   /** @param aChanges decoded changes of the update */
   void UpdateStatuses(const entry_update& aUpdate,
--- a/src/citronpulley/fleet/entry_steering_updates.cpp
+++ b/src/citronpulley/fleet/entry_steering_updates.cpp
@@ -259,7 +259,7 @@
 {
   for (const backend_start& start : ListReplaced(aUpdate, aSnapshot)) {
     if (const std::optional<backend_crash> crash = mCrashMonitor.HandleReplaced(start, aNow)) {
-      AddFoundCrash(*crash);
+      AddFoundCrash(*crash, aNow);
     }
   }
   std::set<std::string> listed;
--- a/src/citronpulley/gateway/entry_gateway_reporting.cpp
+++ b/src/citronpulley/gateway/entry_gateway_reporting.cpp
@@ -327,7 +327,7 @@
     if (found.empty() || aIsReachable) {
       return;
     }
-    mSteering.RecordCrash(found.mapped());
+    mSteering.RecordCrash(found.mapped(), GetBootTime());
     LogCrash(found.mapped(), "unreachable");
   });
 }
--- a/src/citronpulley/steering/crash_monitor.cpp
+++ b/src/citronpulley/steering/crash_monitor.cpp
@@ -1,7 +1,5 @@
 #include "citronpulley/steering/crash_monitor.h"
 
-#include <utility>
-
 namespace citronpulley {
 
 namespace {
@@ -38,9 +36,6 @@
 {
   std::erase_if(mSuspicions,
                 [aNow](const auto& aEntry) { return aEntry.second.mExpiresAt <= aNow; });
-  if (IsAnsweredLately(aRequest, aNow)) {
-    return std::nullopt;
-  }
   const auto replaced = mReplacedUntil.find(aStart);
   if (replaced != mReplacedUntil.end() && aNow < replaced->second) {
     return backend_crash{ aStart, aService, { aRequest } };
@@ -66,14 +61,8 @@
   if (suspected.empty() || suspected.mapped().mExpiresAt <= aNow) {
     return std::nullopt;
   }
-  backend_crash crash{ aStart, suspected.mapped().mService, {} };
-  for (const digest& request : suspected.mapped().mRequests) {
-    // A request that others answer did not cause it.
-    if (!IsAnsweredLately(request, aNow)) {
-      crash.mRequests.push_back(request);
-    }
-  }
-  return crash.mRequests.empty() ? std::nullopt : std::optional(std::move(crash));
+  const std::set<digest>& requests = suspected.mapped().mRequests;
+  return backend_crash{ aStart, suspected.mapped().mService, { requests.begin(), requests.end() } };
 }
 
 } // namespace citronpulley
--- a/tests/fleet/entry_steering_test.cpp
+++ b/tests/fleet/entry_steering_test.cpp
@@ -403,3 +403,43 @@
   CHECK(static_cast<bool>(mSteering.HandleUpdate(update, mNow)));
   CHECK(refusal_reason::Quarantined == GetReason("/get/x"));
 }
+
+/**
+ * Guards against refusing a look-up that many callers share: it is in progress at any backend
+ * server that crashes, whatever the cause.
+ */
+TEST(entry_steering, a_request_that_is_answered_does_not_count_as_the_cause_of_a_crash)
+{
+  Update(1);
+  const digest shared;
+  const digest crashing = ComputeDigest("crashing");
+  mSteering.RecordAnswered(shared, mNow);
+  mSteering.RecordCrash({ { "i-1", 0 }, kService, { shared, crashing } }, mNow);
+  const std::vector<crash_notice> expected{ { crashing, "i-1/0" } };
+  CHECK(expected == mSteering.MakeReport(true, mNow).mCrashes);
+  // Without answers it counts again.
+  mNow += crash_monitor::kAnswerLifetime;
+  mSteering.RecordCrash({ { "i-2", 0 }, kService, { shared } }, mNow);
+  UNSIGNED_LONGS_EQUAL(1, mSteering.MakeReport(true, mNow).mCrashes.size());
+}
+
+/** Guards against refusing it at all VMs because some saw it only on servers that crashed. */
+TEST(entry_steering, a_quarantined_request_that_is_answered_here_is_admitted)
+{
+  Update(1);
+  const auto quarantine = [this] {
+    entry_update update;
+    update.mNumber = mSteering.MakeReport(true, mNow).mNumber;
+    update.mIsConfirmed = true;
+    update.mConfig = 1;
+    update.mListEpoch = 1;
+    update.mQuarantined = { digest{} };
+    CHECK(static_cast<bool>(mSteering.HandleUpdate(update, mNow)));
+  };
+  mSteering.RecordAnswered(digest{}, mNow);
+  quarantine();
+  GetTicket("/get/x");
+  mNow += crash_monitor::kAnswerLifetime;
+  quarantine();
+  CHECK(refusal_reason::Quarantined == GetReason("/get/x"));
+}
--- a/tests/steering/crash_monitor_test.cpp
+++ b/tests/steering/crash_monitor_test.cpp
@@ -66,20 +66,6 @@
   CHECK_FALSE(IsCrashFound());
 }
 
-/** Guards against refusing a look-up that many callers share because it runs everywhere. */
-TEST(crash_monitor, a_request_that_is_answered_elsewhere_is_not_counted)
-{
-  RecordUnanswered();
-  const digest other = MakeFingerprint(2);
-  CHECK_FALSE(mMonitor.RecordUnanswered(kStart, kService, other, mNow).has_value());
-  mNow += microseconds(3'000'000);
-  mMonitor.RecordAnswered(mRequest, mNow);
-  mNow += microseconds(1'000'000);
-  const std::optional<backend_crash> crash = mMonitor.HandleReplaced(kStart, mNow);
-  CHECK(crash.has_value());
-  CHECK(std::vector<digest>{ other } == crash->mRequests);
-}
-
 /** Guards against an answer of long ago that hides a request that crashes backend servers now. */
 TEST(crash_monitor, an_answer_counts_for_a_limited_time)
 {
@@ -87,8 +73,6 @@
   CHECK(mMonitor.IsAnsweredLately(mRequest, mNow));
   mNow += crash_monitor::kAnswerLifetime;
   CHECK_FALSE(mMonitor.IsAnsweredLately(mRequest, mNow));
-  RecordUnanswered();
-  CHECK(IsCrashFound());
 }
 
 /** Guards against memory that grows with the number of different requests. */
