Reserve the fallback rates of silent entry VMs when a leader begins

Cause: cut-off entry VMs use their fallback rates until their lease ends, and a new leader began with an empty list of entry VMs, so it granted the whole rate to the others. Ruled out: the cut alone and the loss of the leader alone.

Change: control VMs that do not lead remember which entry VMs the leader listed within a lease; a new leader reserves an even part of each rate for those that have not reported to it. Messages stay as they are.

--- a/src/citronpulley/fleet/fleet_control.cpp
+++ b/src/citronpulley/fleet/fleet_control.cpp
@@ -349,6 +349,7 @@
     { { "leader", mLastLeader.mValue }, { "term", std::to_string(mGroup.GetTerm()) } } });
   if (mGroup.IsLeader()) {
     mLimits.StartLearning();
+    mLedger.StartLeading(aNow);
     mLeadsSince = aNow;
   }
   if (mGroup.IsLeader() && aNow < mListedAt + kMaxListAge) {
@@ -424,6 +425,11 @@
   }
   if (isFromLeader) {
     mListedAt = aNow;
+    std::vector<vm_name> listed;
+    for (const entry_location& entry : aUpdate.mEntries) {
+      listed.push_back(entry.mVm);
+    }
+    mLedger.RecordListed(listed, aNow);
   }
 }
 
--- a/src/citronpulley/fleet/workspace_ledger.cpp
+++ b/src/citronpulley/fleet/workspace_ledger.cpp
@@ -168,27 +168,60 @@
   return grant;
 }
 
-std::size_t workspace_ledger::RecordContact(const vm_name& aVm, instant aNow)
+workspace_ledger::entry_vm& workspace_ledger::FindOrAddVm(const vm_name& aVm)
 {
   const auto [position, isNew] = mVms.try_emplace(aVm);
   entry_vm& vm = position->second;
-  vm.mSeenAt = aNow;
   if (!isNew) {
-    SetUnreachable(vm, false, aNow);
-    return vm.mSlot;
+    return vm;
   }
   if (!mFreeSlots.empty()) {
     vm.mSlot = mFreeSlots.back();
     mFreeSlots.pop_back();
-    return vm.mSlot;
+    return vm;
   }
   vm.mSlot = mSlotCount++;
   for (account& account : mAccounts) {
     account.mHolders.resize(mSlotCount);
   }
+  return vm;
+}
+
+std::size_t workspace_ledger::RecordContact(const vm_name& aVm, instant aNow)
+{
+  entry_vm& vm = FindOrAddVm(aVm);
+  vm.mSeenAt = aNow;
+  SetUnreachable(vm, false, aNow);
   return vm.mSlot;
 }
 
+void workspace_ledger::RecordListed(const std::vector<vm_name>& aVms, instant aNow)
+{
+  std::erase_if(mListedUntil, [aNow](const auto& aEntry) { return aEntry.second <= aNow; });
+  for (const vm_name& vm : aVms) {
+    mListedUntil.insert_or_assign(vm, aNow + mLease);
+  }
+}
+
+void workspace_ledger::StartLeading(instant aNow)
+{
+  CheckContacts(aNow);
+  std::vector<entry_vm*> unheard;
+  for (const auto& [name, until] : std::exchange(mListedUntil, {})) {
+    if (aNow < until && !mVms.contains(name)) {
+      entry_vm& vm = FindOrAddVm(name);
+      vm.mSeenAt = until - mLease;
+      unheard.push_back(&vm);
+    }
+  }
+  for (entry_vm* vm : unheard) {
+    for (account& account : mAccounts) {
+      account.mHolders[vm->mSlot].mFallbackRate = account.mRate / static_cast<double>(mVms.size());
+    }
+    SetUnreachable(*vm, true, aNow);
+  }
+}
+
 void workspace_ledger::SetUnreachable(entry_vm& aVm, bool aIsUnreachable, instant aAt)
 {
   if (aVm.mIsUnreachable == aIsUnreachable) {
--- a/src/citronpulley/fleet/workspace_ledger.h
+++ b/src/citronpulley/fleet/workspace_ledger.h
@@ -55,6 +55,19 @@
    */
   std::vector<workspace_grant> HandleReport(const entry_report& aReport, instant aNow);
 
+  /**
+   * Records that another leader lists entry VMs, which may use their fallback rates without it for
+   * the time of a lease.
+   */
+  void RecordListed(const std::vector<vm_name>& aVms, instant aNow);
+
+  /**
+   * Call it when this VM begins to lead. Reserves an even part of each rate for every entry VM that
+   * was listed within a lease and has not reported here: what a former leader left it to use while
+   * it is out of reach.
+   */
+  void StartLeading(instant aNow);
+
 private:
   /** Demand and tokens of one workspace at one entry VM. */
   struct holder
@@ -99,11 +112,9 @@
   void Refill(account& aAccount, instant aNow) const;
   workspace_grant Grant(account& aAccount, std::size_t aSlot, instant aNow);
   account* FindAccount(const workspace_name& aName);
-  /**
-   * Records contact with an entry VM, and assigns it a slot if it is new.
-   *
-   * @return its slot
-   */
+  /** @return the entry VM, with a slot of its own if it is new */
+  entry_vm& FindOrAddVm(const vm_name& aVm);
+  /** Records a report of an entry VM. @return its slot */
   std::size_t RecordContact(const vm_name& aVm, instant aNow);
   /**
    * Marks entry VMs as unreachable after the contact timeout, and removes them when their lease has
@@ -120,6 +131,8 @@
   /** Ordered by name. */
   std::vector<account> mAccounts;
   std::map<vm_name, entry_vm> mVms;
+  /** Latest end of the lease of each entry VM that another leader listed. */
+  std::map<vm_name, instant> mListedUntil;
   std::vector<std::size_t> mFreeSlots;
   std::size_t mSlotCount = 0;
 };
--- a/tests/fleet/workspace_ledger_test.cpp
+++ b/tests/fleet/workspace_ledger_test.cpp
@@ -53,11 +53,10 @@
     : mRandom(aSeed)
     , mVms(static_cast<std::size_t>(aVms))
   {
-    workspace_rule rule;
-    rule.mName = kWorkspace;
-    rule.mRate = aRate;
-    rule.mBurst = aRate;
-    mLedger.SetRules({ rule }, mNow);
+    mRule.mName = kWorkspace;
+    mRule.mRate = aRate;
+    mRule.mBurst = aRate;
+    mLedger.SetRules({ mRule }, mNow);
     for (std::size_t i = 0; i < mVms.size(); ++i) {
       mVms[i].mName = vm_name("vm" + std::to_string(i));
     }
@@ -83,6 +82,19 @@
     ++mSteps;
   }
 
+  /** Replaces the ledger by that of a new leader, which knows the entry VMs from lists. */
+  void ChangeLeader()
+  {
+    std::vector<vm_name> listed;
+    for (const entry_vm& vm : mVms) {
+      listed.push_back(vm.mName);
+    }
+    mLedger = workspace_ledger({}, kLease);
+    mLedger.SetRules({ mRule }, mNow);
+    mLedger.RecordListed(listed, mNow);
+    mLedger.StartLeading(mNow);
+  }
+
   std::uint64_t Draw() { return mRandom(); }
   instant GetNow() const { return mNow; }
   std::vector<entry_vm>& GetVms() { return mVms; }
@@ -106,6 +118,7 @@
   }
 
   std::mt19937_64 mRandom;
+  workspace_rule mRule;
   workspace_ledger mLedger{ {}, kLease };
   instant mNow{ microseconds(100'000'000) };
   std::vector<entry_vm> mVms;
@@ -256,6 +269,37 @@
   }
 }
 
+/**
+ * Guards against a new leader that grants a rate in full while entry VMs that it does not reach use
+ * the part that the former leader left to them.
+ */
+TEST(workspace_ledger, a_new_leader_does_not_grant_what_silent_vms_use)
+{
+  constexpr double kRate = 600;
+  constexpr int kVms = 16;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    metered_fleet fleet(seed, kRate, kVms);
+    for (int step = 0; step < 2'400; ++step) {
+      const bool isHot = step >= 900 && step < 1'800;
+      for (entry_vm& vm : fleet.GetVms()) {
+        vm.mDemand = (isHot ? 8 : 1) * 2 * kRate / 3 / kVms;
+      }
+      if (step == 930) {
+        // The former leader is lost to all, the new one leads after 0.7 s and reaches ten of them.
+        for (entry_vm& vm : fleet.GetVms()) {
+          const bool isCutOff = &vm - fleet.GetVms().data() < 6;
+          vm.mDisconnectedUntil = fleet.GetNow() + microseconds(isCutOff ? 5'500'000 : 700'000);
+        }
+      }
+      if (step == 1'000) {
+        fleet.ChangeLeader();
+      }
+      fleet.Step();
+    }
+    CHECK(static_cast<double>(fleet.GetMaximum()) <= GetBound(kRate));
+  }
+}
+
 /** Guards against a bound for hot workspaces that refuses small ones within their rate. */
 TEST(workspace_ledger, a_small_workspace_on_many_vms_is_hardly_ever_refused)
 {
