Report crashes again to a new leader

Cause: the leader alone counts crashes, a new one starts without them, and entry VMs reported each crash once. Ruled out: the end of the quarantine (120 s, the retries came after 10 s).

Change: crash_notice_list keeps the notices of an entry VM for 120 s, reports each until it is acknowledged, and all again to a later leader. Messages stay as they are.

Test a_request_that_is_answered_does_not_count_as_the_cause_of_a_crash now expects both notices in the second report, since the first was not acknowledged.

--- a/src/citronpulley/fleet/entry_steering.cpp
+++ b/src/citronpulley/fleet/entry_steering.cpp
@@ -29,8 +29,8 @@
  * failed backend server is common; each further one costs the caller a round trip.
  */
 constexpr int kMaxUnreached = 2;
-/** Maximum number of crashes kept for the next report. */
-constexpr std::size_t kMaxCrashNotices = 200;
+/** Maximum number of crashes kept for the log. */
+constexpr std::size_t kMaxFoundCrashes = 200;
 
 } // namespace
 
@@ -333,8 +333,8 @@
     return;
   }
   for (const digest& fingerprint : aCrash.mRequests) {
-    if (mCrashes.size() < kMaxCrashNotices && !mCrashMonitor.IsAnsweredLately(fingerprint, aNow)) {
-      mCrashes.push_back({ fingerprint, ToString(aCrash.mStart) });
+    if (!mCrashMonitor.IsAnsweredLately(fingerprint, aNow)) {
+      mCrashes.Add({ fingerprint, ToString(aCrash.mStart) }, aNow);
     }
   }
 }
@@ -342,7 +342,7 @@
 void entry_steering::AddFoundCrash(const backend_crash& aCrash, instant aNow)
 {
   RecordCrash(aCrash, aNow);
-  if (mFoundCrashes.size() < kMaxCrashNotices) {
+  if (mFoundCrashes.size() < kMaxFoundCrashes) {
     mFoundCrashes.push_back(aCrash);
   }
 }
--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -3,6 +3,7 @@
 
 #include "citronpulley/base/digest.h"
 #include "citronpulley/fleet/backend_status.h"
+#include "citronpulley/fleet/crash_notice_list.h"
 #include "citronpulley/fleet/fleet_message.h"
 #include "citronpulley/fleet/relay_pool.h"
 #include "citronpulley/limits/retry_budget.h"
@@ -220,7 +221,8 @@
   explicit entry_steering(entry_steering_settings aSettings);
 
   /**
-   * Makes the report to send to the leader now. Observations and crashes are included once.
+   * Makes the report to send to the leader now. Observations are included once, crashes until a
+   * leader has them.
    *
    * @param aIsAccepting false while the process shuts down
    */
@@ -454,7 +456,7 @@
   std::map<std::uint64_t, told_status> mStatuses;
   crash_monitor mCrashMonitor;
   std::vector<backend_crash> mFoundCrashes;
-  std::vector<crash_notice> mCrashes;
+  crash_notice_list mCrashes;
   std::set<digest> mQuarantined;
   /** Run time of each route, by its name. */
   std::map<std::string, run_time_estimate> mRunTimes;
--- a/src/citronpulley/fleet/entry_steering_updates.cpp
+++ b/src/citronpulley/fleet/entry_steering_updates.cpp
@@ -36,7 +36,7 @@
   for (const workspace_meter::account_report& account : mMeter.Report(aNow)) {
     report.mDemands.push_back({ account.mWorkspace, account.mDemand, account.mTokens });
   }
-  report.mCrashes = std::exchange(mCrashes, {});
+  report.mCrashes = mCrashes.ListForReport(mNumber, aNow);
   AddLimits(report, aNow);
   report.mCutOff = mReach.ListCutOff();
   report.mRelayDigest = mRelays.GetDigest();
@@ -140,6 +140,7 @@
   if (aUpdate.mListEpoch != mListEpoch) {
     mPool.ReportLimitsAgain();
   }
+  mCrashes.HandleUpdate(aUpdate.mNumber, aUpdate.mListEpoch);
   UpdateBackends(aUpdate, std::move(snapshot.Get()), aNow);
   mPool.SetSharesValidUntil(sentAt + backend_limit_ledger::kShareLease);
   mMeter.RecordLeaderContact(aNow);
--- a/tests/fleet/entry_steering_test.cpp
+++ b/tests/fleet/entry_steering_test.cpp
@@ -420,7 +420,8 @@
   // Without answers it counts again.
   mNow += crash_monitor::kAnswerLifetime;
   mSteering.RecordCrash({ { "i-2", 0 }, kService, { shared } }, mNow);
-  UNSIGNED_LONGS_EQUAL(1, mSteering.MakeReport(true, mNow).mCrashes.size());
+  const std::vector<crash_notice> expectedLater{ { crashing, "i-1/0" }, { shared, "i-2/0" } };
+  CHECK(expectedLater == mSteering.MakeReport(true, mNow).mCrashes);
 }
 
 /** Guards against refusing it at all VMs because some saw it only on servers that crashed. */
--- a/tests/fleet/silent_crash_test.cpp
+++ b/tests/fleet/silent_crash_test.cpp
@@ -3,6 +3,7 @@
 #include "fleet/control_vm_harness.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <array>
 #include <memory>
 #include <string>
@@ -58,11 +59,7 @@
 
   void setup() override
   {
-    mLeader = std::make_unique<control_vm_harness>(
-      vm_name("10.1.0.1:7600"),
-      [](std::string_view) -> result<traffic_config> { return MakeConfig(); });
-    mLeader->Run(microseconds(100'000));
-    mLeader->Submit(put_config{ 1, 0, "text" });
+    StartLeader(1);
     for (std::size_t i = 0; i < mVms.size(); ++i) {
       entry_steering_settings settings;
       const std::string ip = "10.9.0." + std::to_string(i);
@@ -79,6 +76,19 @@
     mLeader.reset();
   }
 
+  /** Replaces the leader by one without soft state. */
+  void StartLeader(std::uint64_t aSeed)
+  {
+    const instant startedAt = mLeader ? mLeader->GetNow() : instant{};
+    mLeader = std::make_unique<control_vm_harness>(
+      vm_name("10.1.0.1:7600"),
+      [](std::string_view) -> result<traffic_config> { return MakeConfig(); },
+      aSeed);
+    mLeader->Advance(std::max(microseconds(0), startedAt - mLeader->GetNow()));
+    mLeader->Run(microseconds(2'000'000));
+    mLeader->Submit(put_config{ 1, 0, "text" });
+  }
+
   instant GetNow() const
   {
     return mLeader->GetNow();
@@ -241,3 +251,17 @@
   CHECK(static_cast<bool>(mVms[0]->HandleUpdate(update, GetNow())));
   UNSIGNED_LONGS_EQUAL(1, mVms[0]->DrainFoundCrashes().size());
 }
+
+/** Guards against a request that is let through again because the leader was lost. */
+TEST(silent_crash, a_new_leader_quarantines_what_the_former_one_did)
+{
+  for (std::size_t i = 0; i < 3; ++i) {
+    SendCrashing(i % 2, "/crash");
+  }
+  Run(kDownTime + microseconds(1'000'000));
+  CHECK(IsQuarantined(0, "/crash"));
+  StartLeader(2);
+  Run(microseconds(2'000'000));
+  CHECK(IsQuarantined(0, "/crash"));
+  CHECK(IsQuarantined(1, "/crash"));
+}
