Reset the connection of a request that is given up

Cause: the connection was closed in the ordinary way, and the network delivers after it what it holds. Ruled out: the choice of the backend server (sent before the evacuation, or within its time).

Change: a connection with a request in progress is reset, which drops these bytes; also towards other entry VMs. Idle connections are closed as before.

--- a/src/citronpulley/gateway/backend_channel.cpp
+++ b/src/citronpulley/gateway/backend_channel.cpp
@@ -321,10 +321,15 @@
 
 void backend_channel::Close()
 {
+  beast::error_code ignored;
+  if (mOnEnd && mIsConnected) {
+    // A reset drops what the network still holds of the request; after an ordinary close it would
+    // be delivered once a cut has healed.
+    mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
   mIsClosed = true;
   mOnEnd = {};
   mOnConnected = {};
-  beast::error_code ignored;
   mSocket.close(ignored);
 }
 
--- a/src/citronpulley/gateway/backend_channel.h
+++ b/src/citronpulley/gateway/backend_channel.h
@@ -92,7 +92,10 @@
    */
   void Send(channel_request aRequest, on_end aOnEnd);
 
-  /** Closes the connection and discards the callback of a request in progress. */
+  /**
+   * Closes the connection and discards the callback of a request in progress, which is given up
+   * then: the connection is reset.
+   */
   void Close();
 
   /** Ends a connection attempt after kConnectTimeout; closes a connection idle for too long. */
--- a/tests/gateway/backend_channel_test.cpp
+++ b/tests/gateway/backend_channel_test.cpp
@@ -333,3 +333,37 @@
   CHECK(Request("b") == channel_end::Answered);
   LONGS_EQUAL(200, mResponse.mStatus);
 }
+
+/**
+ * Guards against a request that was given up and is delivered, and run, once a cut of the network
+ * has healed: only a reset drops the bytes that the network holds.
+ */
+TEST(backend_channel, resets_the_connection_of_a_request_that_is_given_up)
+{
+  for (const bool isGivenUp : { true, false }) {
+    asio::ip::tcp::acceptor acceptor(*mIo, { asio::ip::make_address("127.0.0.1"), 0 });
+    const auto channel = std::make_shared<backend_channel>(asio::ip::tcp::socket(*mIo), mBudget);
+    bool isConnected = false;
+    channel->Connect(acceptor.local_endpoint(),
+                     [&](bool aIsConnected) { isConnected = aIsConnected; });
+    asio::ip::tcp::socket server = acceptor.accept();
+    while (!isConnected) {
+      mIo->run_one();
+    }
+    if (isGivenUp) {
+      channel_request request;
+      request.mEncoded = "GET / HTTP/1.1\r\n\r\n";
+      channel->Send(std::move(request), [](channel_end, const http_response&) {});
+    }
+    channel->Close();
+    boost::system::error_code error;
+    std::array<char, 64> input{};
+    while (!error) {
+      server.read_some(asio::buffer(input), error);
+    }
+    const boost::system::error_code expected =
+      isGivenUp ? boost::system::error_code(asio::error::connection_reset)
+                : boost::system::error_code(asio::error::eof);
+    CHECK(expected == error);
+  }
+}
