--- a/tests/fleet/silent_crash_test.cpp
+++ b/tests/fleet/silent_crash_test.cpp
@@ -107,7 +107,7 @@
     record.mAddress = server_name("10.2.0." + std::to_string(aNumber) + ":80");
     record.mZone = zone_name("a");
     record.mSlots = 100;
-    record.mStartedAtMs = 1'000 * mServers[aNumber].mStarts;
+    record.mStartedAtMs = std::int64_t{ 1'000 } * mServers[aNumber].mStarts;
     record.mSequence = ++mSequence;
     mLeader->Get().HandleAnnouncement(record, GetNow());
   }
@@ -152,7 +152,7 @@
   {
     entry_steering& vm = *mVms[aVm];
     auto ticket = std::get<admission_ticket>(Admit(vm, aPath));
-    const placement placed = std::get<placement>(vm.Place(ticket, GetNow()));
+    placement placed = std::get<placement>(vm.Place(ticket, GetNow()));
     vm.RecordSent(placed, GetNow());
     Run(kDeadline);
     vm.RecordUnanswered(ticket, placed, MakeFingerprint(aPath), GetNow());
