--- a/src/citronpulley/gateway/http_session.cpp
+++ b/src/citronpulley/gateway/http_session.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
+#include <poll.h>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <utility>
@@ -170,6 +171,16 @@
   return count == 0;
 }
 
+bool http_session::HasClientLeftUnread()
+{
+  if (mIsReading || mQueue.size() < kMaxPipelined) {
+    return false;
+  }
+  // Requests that were not read yet hide the end of the connection from a read.
+  pollfd state{ mSocket.native_handle(), POLLRDHUP, 0 };
+  return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 bool http_session::IsIdle() const noexcept
 {
   return !mIsClosed && !mIsWriting && !mHasFinalResponse && mQueue.empty() &&
@@ -353,6 +364,10 @@
     }
     return;
   }
+  if (HasClientLeftUnread()) {
+    Close();
+    return;
+  }
   const caller_limits limits = mContext->mLimits();
   if (mIsWriting) {
     if (mLastActivityAt + kTransferTimeout <= aNow) {
--- a/src/citronpulley/gateway/http_session.h
+++ b/src/citronpulley/gateway/http_session.h
@@ -101,8 +101,8 @@
   void Start();
 
   /**
-   * Closes idle and stalled connections and responds 408 to requests that arrive too slowly; call
-   * it a few times per second.
+   * Closes idle and stalled connections, and those whose client left while reading pauses, and
+   * responds 408 to requests that arrive too slowly; call it a few times per second.
    */
   void CheckTimeouts(instant aNow);
 
@@ -132,6 +132,8 @@
    * Bytes of a connection that waited before it was accepted or read may be followed by its end.
    */
   bool HasClientLeft();
+  /** @return true when reading pauses and the client has closed its side meanwhile */
+  bool HasClientLeftUnread();
   void HandleBytes();
   /** @return true when a further request may be parsed from the buffer */
   bool ParseRequest();
--- a/tests/gateway/http_session_test.cpp
+++ b/tests/gateway/http_session_test.cpp
@@ -179,3 +179,31 @@
   STRNCMP_EQUAL("HTTP/1.1 200", mReceived.c_str(), 12);
   LONGS_EQUAL(1, mRequests);
 }
+
+/**
+ * Guards against requests that run on for a caller that left: with the maximum number in progress
+ * the connection is not read, and further requests hide its end.
+ */
+TEST(http_session, notices_that_the_caller_left_while_reading_pauses)
+{
+  int left = 0;
+  mContext->mOnRequest = [&](const std::shared_ptr<inbound_request>& aRequest) {
+    ++mRequests;
+    aRequest->mOnCallerLeft = [&] { ++left; };
+  };
+  std::string requests;
+  for (std::size_t i = 0; i < http_session::kMaxPipelined + 8; ++i) {
+    requests += "GET / HTTP/1.1\r\n\r\n";
+  }
+  asio::write(*mCaller, asio::buffer(requests));
+  while (mRequests < static_cast<int>(http_session::kMaxPipelined)) {
+    mIo->run_one();
+  }
+  mSession->CheckTimeouts(mSession->GetLastActivityAt());
+  CHECK_FALSE(mSession->IsClosed());
+  mCaller->close();
+  mIo->poll();
+  mSession->CheckTimeouts(mSession->GetLastActivityAt());
+  CHECK(mSession->IsClosed());
+  LONGS_EQUAL(http_session::kMaxPipelined, left);
+}
