--- a/src/citronpulley/fleet/entry_steering.h
+++ b/src/citronpulley/fleet/entry_steering.h
@@ -343,14 +343,16 @@
                              instant aNow);
 
   /**
-   * Records a crash of which the connections of a backend server tell, for the next report.
-   * Requests that were answered lately are left out.
+   * Records a crash of a backend server, for the next report. Requests that were answered lately
+   * did not cause it and are left out.
    */
   void RecordCrash(const backend_crash& aCrash, instant aNow);
 
   /**
    * Records that an attempt ended without a response, by its connection, its deadline or its
    * caller. It counts as a crash once a later process start replaces the one that had the request.
+   *
+   * @param aFingerprint fingerprint of the request
    */
   void RecordUnanswered(const admission_ticket& aTicket,
                         const placement& aPlacement,
--- a/src/citronpulley/fleet/entry_steering_updates.cpp
+++ b/src/citronpulley/fleet/entry_steering_updates.cpp
@@ -238,7 +238,8 @@
   if (byAddress.empty()) {
     return replaced;
   }
-  // With a full list, the removals name backend servers that left.
+  // A change removes what a later start replaced; with a full list the removals name only backend
+  // servers that left.
   std::set<std::string> unlisted(aUpdate.mRemoved.begin(), aUpdate.mRemoved.end());
   if (aUpdate.mIsWholeList) {
     unlisted = mPool.ListMissing(listed);
--- a/src/citronpulley/steering/crash_monitor.h
+++ b/src/citronpulley/steering/crash_monitor.h
@@ -45,7 +45,10 @@
   static constexpr std::size_t kMaxSuspicions = 1'000;
   static constexpr std::size_t kMaxRequests = 200;
 
-  /** Records that a backend server ran a request and responded. */
+  /**
+   * Records that a backend server ran a request and responded. Beyond `kMaxAnswers` requests in the
+   * lifetime of an answer, further ones are not remembered.
+   */
   void RecordAnswered(const digest& aRequest, instant aNow);
 
   /** @return true when a backend server answered the request within `kAnswerLifetime` */
