--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -332,9 +332,9 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def make_config(routes, services, tenants=None, limits=None):
+def make_config(routes, services, tenants=None, limits=None, is_sticky=False):
     """routes: list of (name, kind, prefix, service, timeout_ms, attempts, is_open)."""
-    rules = [{"Name": name, "Kind": kind, "Aim": "250ms", "Priority": 1, "AllowAnonymous": is_open, "Sticky": False,
+    rules = [{"Name": name, "Kind": kind, "Aim": "250ms", "Priority": 1, "AllowAnonymous": is_open, "Sticky": is_sticky,
               "Match": {"PathPrefix": prefix},
               "Action": {"Service": service, "Timeout": f"{timeout}ms", "MaxAttempts": attempts, "AllowedRegions": []}}
              for name, kind, prefix, service, timeout, attempts, is_open in routes]
